--- /dev/null
+++ b/crates/ebonylug-admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission of work to one target: limits, cold start, preemption, attempts and tombstones.
--- /dev/null
+++ b/crates/ebonylug-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Publishing and applying configuration revisions.
--- /dev/null
+++ b/crates/ebonylug-demo/src/lib.rs
@@ -0,0 +1,1 @@
+//! Both users' deployments in small, on loopback in one process.
--- /dev/null
+++ b/crates/ebonylug-demo/src/main.rs
@@ -0,0 +1,3 @@
+//! Both users' deployments in small, on loopback in one process.
+
+fn main() {}
--- /dev/null
+++ b/crates/ebonylug-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The process that callers and operators talk to.
--- /dev/null
+++ b/crates/ebonylug-entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The process that callers and operators talk to.
+
+fn main() {}
--- /dev/null
+++ b/crates/ebonylug-lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases with fencing numbers in the table service.
--- /dev/null
+++ b/crates/ebonylug-measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of the product against a naive policy in virtual time.
--- /dev/null
+++ b/crates/ebonylug-measure/src/main.rs
@@ -0,0 +1,3 @@
+//! Measurements of the product against a naive policy in virtual time.
+
+fn main() {}
--- /dev/null
+++ b/crates/ebonylug-membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Live targets from the instance list, heartbeats and leave notices, and subsets of targets.
--- /dev/null
+++ b/crates/ebonylug-moves/src/lib.rs
@@ -0,0 +1,1 @@
+//! Version moves: schedule, evidence, judgement and phases.
--- /dev/null
+++ b/crates/ebonylug-net/src/lib.rs
@@ -0,0 +1,1 @@
+//! Connections between the processes, settings, logs and metrics.
--- /dev/null
+++ b/crates/ebonylug-resource/src/lib.rs
@@ -0,0 +1,1 @@
+//! Resource types, their validation, and the configuration document.
--- /dev/null
+++ b/crates/ebonylug-sidecar/src/lib.rs
@@ -0,0 +1,1 @@
+//! The process beside each target: the only way to it.
--- /dev/null
+++ b/crates/ebonylug-sidecar/src/main.rs
@@ -0,0 +1,3 @@
+//! The process beside each target: the only way to it.
+
+fn main() {}
--- /dev/null
+++ b/crates/ebonylug-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small fakes of engines, plain services and the platform, for tests and the demo.
--- /dev/null
+++ b/crates/ebonylug-standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Small fakes of engines, plain services and the platform, for tests and the demo.
+
+fn main() {}
--- /dev/null
+++ b/crates/ebonylug-zones/src/lib.rs
@@ -0,0 +1,1 @@
+//! Drained and dark availability zones and their slow return.
--- /dev/null
+++ b/crates/ebonylug/src/lib.rs
@@ -0,0 +1,1 @@
+//! Request scheduler for unlike engines.
--- /dev/null
+++ b/crates/ebonylugctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/ebonylugctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
