Add resource types, validation and the configuration document

Cause: the configuration slices need typed resources, a document that is valid as a whole, and a stored form in which a small change is a small transfer.

Change: seven resource kinds, Document::apply with whole-document validation, problem+json, JSON5 parsing with line and column, and sections by kind and hash bucket under a manifest.

--- /dev/null
+++ b/crates/ebonylug-resource/src/change.rs
@@ -0,0 +1,94 @@
+use ebonylug_core::{Name, Revision};
+
+use crate::{AnyResource, Kind, Resource, Spec};
+
+/// What an edit expects of the resource that it changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Expected {
+    /// Nothing: the last edit wins.
+    #[default]
+    Any,
+    /// The resource does not exist (`If-None-Match: *`).
+    Absent,
+    /// The resource has this revision (`If-Match`).
+    Revision(Revision),
+}
+
+/// One edit of one resource.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Edit {
+    /// Creates or replaces a resource. Its revision and status are ignored.
+    Put(Box<AnyResource>, Expected),
+    /// Removes a resource, which must exist.
+    Delete(Kind, Name, Expected),
+}
+
+impl Edit {
+    /// Returns kind and name of the resource.
+    #[must_use]
+    pub fn subject(&self) -> (Kind, &Name) {
+        match self {
+            Edit::Put(resource, _) => (resource.kind(), resource.name()),
+            Edit::Delete(kind, name, _) => (*kind, name),
+        }
+    }
+
+    /// Returns what the edit expects.
+    #[must_use]
+    pub fn expected(&self) -> Expected {
+        match self {
+            Edit::Put(_, expected) | Edit::Delete(_, _, expected) => *expected,
+        }
+    }
+}
+
+/// Edits that apply together or not at all. The result is validated as a whole, so that a route
+/// and its versions may come in any order.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Change {
+    /// The edits, applied in order.
+    pub edits: Vec<Edit>,
+}
+
+impl Change {
+    /// Creates or replaces one resource.
+    #[must_use]
+    pub fn put<S: Spec>(resource: Resource<S>) -> Self {
+        Change::put_all([S::wrap(resource)])
+    }
+
+    /// Creates or replaces several resources.
+    #[must_use]
+    pub fn put_all(resources: impl IntoIterator<Item = AnyResource>) -> Self {
+        let put = |resource| Edit::Put(Box::new(resource), Expected::Any);
+        Change {
+            edits: resources.into_iter().map(put).collect(),
+        }
+    }
+
+    /// Removes one resource.
+    #[must_use]
+    pub fn delete(kind: Kind, name: &str) -> Self {
+        Change {
+            edits: vec![Edit::Delete(kind, Name::new(name), Expected::Any)],
+        }
+    }
+
+    /// Sets what every edit expects of its resource.
+    #[must_use]
+    pub fn expecting(mut self, expectation: Expected) -> Self {
+        for edit in &mut self.edits {
+            match edit {
+                Edit::Put(_, expected) | Edit::Delete(_, _, expected) => *expected = expectation,
+            }
+        }
+        self
+    }
+
+    /// Appends the edits of another change.
+    #[must_use]
+    pub fn and(mut self, other: Change) -> Self {
+        self.edits.extend(other.edits);
+        self
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-resource/src/document.rs
@@ -0,0 +1,193 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use ebonylug_core::{Name, Revision};
+
+use crate::any::with_any;
+use crate::{
+    AnyResource, AvailabilityZoneSpec, Change, Edit, Expected, Kind, Move, MoveSpec, MoveState,
+    OrganisationSpec, Problem, Resource, Result, Route, RouteKind, RouteSpec, Spec, Status,
+    TargetSpec, TierSpec, VersionSpec, validate,
+};
+
+/// The resources of one kind by name. Clones share the resources.
+pub type Collection<S> = Arc<BTreeMap<Name, Arc<Resource<S>>>>;
+
+/// The whole configuration at one revision.
+///
+/// A document is immutable, and clones are cheap: they share everything.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Document {
+    pub(crate) revision: Revision,
+    pub(crate) organisations: Collection<OrganisationSpec>,
+    pub(crate) tiers: Collection<TierSpec>,
+    pub(crate) zones: Collection<AvailabilityZoneSpec>,
+    pub(crate) versions: Collection<VersionSpec>,
+    pub(crate) routes: Collection<RouteSpec>,
+    pub(crate) targets: Collection<TargetSpec>,
+    pub(crate) moves: Collection<MoveSpec>,
+}
+
+/// Evaluates an expression with `$spec` as the spec type of a kind.
+macro_rules! with_kind {
+    ($kind:expr, $spec:ident => $body:expr) => {{
+        macro_rules! arm {
+            ($type:ty) => {{
+                type $spec = $type;
+                $body
+            }};
+        }
+        match $kind {
+            $crate::Kind::Organisation => arm!($crate::OrganisationSpec),
+            $crate::Kind::Tier => arm!($crate::TierSpec),
+            $crate::Kind::AvailabilityZone => arm!($crate::AvailabilityZoneSpec),
+            $crate::Kind::Version => arm!($crate::VersionSpec),
+            $crate::Kind::Route => arm!($crate::RouteSpec),
+            $crate::Kind::Target => arm!($crate::TargetSpec),
+            $crate::Kind::Move => arm!($crate::MoveSpec),
+        }
+    }};
+}
+
+pub(crate) use with_kind;
+
+impl Document {
+    /// Returns the document before the first change. Its revision is 0 and is never in force.
+    #[must_use]
+    pub fn empty() -> Self {
+        Self::default()
+    }
+
+    /// Returns the revision.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns all resources of a kind, for example `document.all::<TargetSpec>()`.
+    #[must_use]
+    pub fn all<S: Spec>(&self) -> &BTreeMap<Name, Arc<Resource<S>>> {
+        S::collection(self)
+    }
+
+    /// Returns one resource.
+    #[must_use]
+    pub fn get<S: Spec>(&self, name: &str) -> Option<&Arc<Resource<S>>> {
+        self.all::<S>().get(name)
+    }
+
+    /// Returns one resource of a kind that is known only at run time.
+    #[must_use]
+    pub fn find(&self, kind: Kind, name: &str) -> Option<AnyResource> {
+        with_kind!(kind, S => self.get::<S>(name).map(|found| S::wrap((**found).clone())))
+    }
+
+    /// Returns all resources of a kind that is known only at run time, in order of names.
+    #[must_use]
+    pub fn list(&self, kind: Kind) -> Vec<AnyResource> {
+        with_kind!(kind, S => {
+            let resources = self.all::<S>().values();
+            resources.map(|resource| S::wrap((**resource).clone())).collect()
+        })
+    }
+
+    /// Returns the route for chat completions of a model.
+    #[must_use]
+    pub fn chat_route(&self, model: &str) -> Option<&Arc<Route>> {
+        self.routes.values().find(|route| match &route.spec.kind {
+            RouteKind::Chat(chat) => chat.model.as_str() == model,
+            RouteKind::Service(_) => false,
+        })
+    }
+
+    /// Returns the route for a service call: the one with the longest prefix that covers the path.
+    #[must_use]
+    pub fn service_route(&self, path: &str) -> Option<&Arc<Route>> {
+        let length = |route: &&Arc<Route>| match &route.spec.kind {
+            RouteKind::Service(service) if service.covers(path) => Some(service.prefix.len()),
+            _ => None,
+        };
+        let covering = self.routes.values().filter(|route| length(route).is_some());
+        covering.max_by_key(length)
+    }
+
+    /// Returns the move that is to be carried out on a route.
+    #[must_use]
+    pub fn active_move(&self, route: &str) -> Option<&Arc<Move>> {
+        self.moves.values().find(|planned| {
+            planned.spec.state == MoveState::Active && planned.spec.route.as_str() == route
+        })
+    }
+
+    /// Applies a change and returns the document of the next revision. The present document is
+    /// unchanged, whatever the result.
+    ///
+    /// A resource whose spec and labels stay the same keeps its revision.
+    ///
+    /// # Errors
+    ///
+    /// A [`Problem`] with status 409 if an edit expects another revision, 404 if it removes a
+    /// resource that does not exist, and 422 if the resulting document is not valid.
+    pub fn apply(&self, change: &Change) -> Result<Document> {
+        let mut next = self.clone();
+        next.revision = self.revision.next();
+        for edit in &change.edits {
+            next.edit(edit)?;
+        }
+        validate::document(&next)?;
+        Ok(next)
+    }
+
+    fn edit(&mut self, edit: &Edit) -> Result<()> {
+        let (kind, name) = edit.subject();
+        with_kind!(kind, S => self.check_expected::<S>(name, edit.expected()))?;
+        match edit {
+            Edit::Put(resource, _) => {
+                with_any!(&**resource, resource => self.put(resource));
+                Ok(())
+            }
+            Edit::Delete(kind, name, _) => with_kind!(*kind, S => self.delete::<S>(name)),
+        }
+    }
+
+    fn check_expected<S: Spec>(&self, name: &Name, expected: Expected) -> Result<()> {
+        let present = self
+            .get::<S>(name.as_str())
+            .map(|found| found.metadata.revision);
+        let reason = match (expected, present) {
+            (Expected::Any, _) | (Expected::Absent, None) => return Ok(()),
+            (Expected::Revision(revision), Some(present)) if revision == present => return Ok(()),
+            (Expected::Absent, Some(present)) => {
+                format!("the resource exists at revision {present}")
+            }
+            (Expected::Revision(revision), Some(present)) => {
+                format!("the resource is at revision {present}, not {revision}")
+            }
+            (Expected::Revision(_), None) => "the resource does not exist".into(),
+        };
+        Err(Problem::conflict(S::KIND, name.as_str(), &reason))
+    }
+
+    fn put<S: Spec>(&mut self, resource: &Resource<S>) {
+        let name = resource.name();
+        if let Some(present) = self.get::<S>(name.as_str()) {
+            let same_labels = present.metadata.labels == resource.metadata.labels;
+            if same_labels && present.spec == resource.spec {
+                return;
+            }
+        }
+        let mut stored = resource.clone();
+        stored.metadata.revision = self.revision;
+        stored.status = Status::default();
+        Arc::make_mut(S::collection_mut(self)).insert(name.clone(), Arc::new(stored));
+    }
+
+    fn delete<S: Spec>(&mut self, name: &Name) -> Result<()> {
+        if self.get::<S>(name.as_str()).is_none() {
+            let detail = format!("{}/{name} does not exist", S::KIND);
+            return Err(Problem::not_found(&detail));
+        }
+        Arc::make_mut(S::collection_mut(self)).remove(name);
+        Ok(())
+    }
+}
--- a/crates/ebonylug-resource/src/lib.rs
+++ b/crates/ebonylug-resource/src/lib.rs
@@ -1,1 +1,80 @@
-//! Resource types, their validation, and the configuration document.
+//! Resource types, their validation, and the whole configuration as one document.
+//!
+//! Operators declare what they want (tiers, versions, zones, routes, moves) and the processes
+//! act on it. Two properties follow from how this crate represents the declarations:
+//!
+//! * **A configuration is valid as a whole or not accepted at all.** A [`Document`] is immutable;
+//!   [`Document::apply`] returns a new one in which every reference resolves, or a [`Problem`]
+//!   that names the field and the reason. No process ever has to handle a route without a
+//!   version.
+//! * **A small change costs a small transfer.** With 6,400 organisations the document has about
+//!   1.3 MB. It is stored as sections by kind and hash bucket, each named by its hash; a
+//!   [`Manifest`] lists them. A process that has the previous document fetches the manifest and
+//!   the sections that changed.
+//!
+//! The status of a resource is not part of the document: it changes without an operator's
+//! decision and would otherwise create revisions. The resource API adds it when it answers.
+//!
+//! ```
+//! use ebonylug_resource::{Change, Document, TierSpec, parse_resources};
+//!
+//! let resources = parse_resources(
+//!     r#"[
+//!         // Somebody stands at the counter.
+//!         { kind: "Tier", metadata: { name: "counter" }, spec: { class: "interactive", rank: 0 } },
+//!     ]"#,
+//! )?;
+//! let document = Document::empty().apply(&Change::put_all(resources))?;
+//! assert_eq!(document.revision().0, 1);
+//! assert!(document.get::<TierSpec>("counter").is_some());
+//! # Ok::<(), ebonylug_resource::Problem>(())
+//! ```
+//!
+//! A refused change names what is wrong:
+//!
+//! ```
+//! use ebonylug_resource::{Change, Document, parse_resources};
+//!
+//! let resources = parse_resources(
+//!     r#"{
+//!         kind: "Target",
+//!         metadata: { name: "engine-1" },
+//!         spec: { zone: "liberia-a", version: "quote-v1", kind: "model", models: ["quote"] },
+//!     }"#,
+//! )?;
+//! let problem = Document::empty().apply(&Change::put_all(resources)).unwrap_err();
+//! assert_eq!(problem.status, 422);
+//! assert_eq!(problem.field.as_deref(), Some("spec.zone"));
+//! # Ok::<(), ebonylug_resource::Problem>(())
+//! ```
+
+mod any;
+mod change;
+mod document;
+mod kind;
+mod parse;
+mod problem;
+mod resource;
+mod section;
+mod share;
+mod spec;
+mod time;
+mod token;
+mod validate;
+
+pub use any::AnyResource;
+pub use change::{Change, Edit, Expected};
+pub use document::{Collection, Document};
+pub use kind::{Kind, Spec};
+pub use parse::parse_resources;
+pub use problem::{Problem, Result};
+pub use resource::{Condition, Metadata, Resource, Status};
+pub use section::{Manifest, Section, SectionRef};
+pub use share::Share;
+pub use spec::{
+    AvailabilityZone, AvailabilityZoneSpec, CallPattern, Calls, ChatRoute, Fencing, Move, MoveSpec,
+    MoveState, Organisation, OrganisationSpec, Route, RouteKind, RouteSpec, ServiceRoute, Target,
+    TargetKind, TargetSpec, Tier, TierSpec, Version, VersionSpec, ZoneState,
+};
+pub use time::{Span, Timestamp};
+pub use token::TokenHash;
--- /dev/null
+++ b/crates/ebonylug-resource/src/resource.rs
@@ -0,0 +1,225 @@
+use std::collections::BTreeMap;
+use std::fmt;
+use std::marker::PhantomData;
+
+use ebonylug_core::{Name, Revision};
+use serde::de::{DeserializeSeed, Error as _, MapAccess, Visitor};
+use serde::ser::SerializeMap;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::{Kind, Spec, Timestamp};
+
+/// What every resource has, whatever its kind.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct Metadata {
+    /// The name, unique within the kind.
+    pub name: Name,
+    /// The revision of the document that last changed the resource. Set by the resource API.
+    #[serde(default)]
+    pub revision: Revision,
+    /// Free text for operators' own use.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub labels: BTreeMap<Box<str>, Box<str>>,
+}
+
+/// One observation about a resource.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct Condition {
+    /// What the observation is about, such as `Ready`.
+    #[serde(rename = "type")]
+    pub kind: Box<str>,
+    /// The reason as one word, for programs.
+    pub reason: Box<str>,
+    /// The reason as a sentence, for people.
+    pub message: Box<str>,
+    /// When the observation became true.
+    pub time: Timestamp,
+}
+
+/// The actual state of a resource, as processes observe it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct Status {
+    /// The observations.
+    #[serde(default)]
+    pub conditions: Vec<Condition>,
+}
+
+/// One declared object: metadata, the desired state, and the actual state.
+///
+/// The JSON form has the fields `kind`, `metadata`, `spec` and, unless empty, `status`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Resource<S> {
+    /// Name, revision and labels.
+    pub metadata: Metadata,
+    /// The desired state.
+    pub spec: S,
+    /// The actual state. Not part of a document.
+    pub status: Status,
+}
+
+impl<S: Spec> Resource<S> {
+    /// Creates a resource that has not been stored yet.
+    #[must_use]
+    pub fn new(name: &str, spec: S) -> Self {
+        Resource {
+            metadata: Metadata {
+                name: Name::new(name),
+                revision: Revision::default(),
+                labels: BTreeMap::new(),
+            },
+            spec,
+            status: Status::default(),
+        }
+    }
+
+    /// Returns the kind.
+    #[must_use]
+    pub fn kind(&self) -> Kind {
+        S::KIND
+    }
+
+    /// Returns the name.
+    #[must_use]
+    pub fn name(&self) -> &Name {
+        &self.metadata.name
+    }
+}
+
+impl<S: Spec> Serialize for Resource<S> {
+    fn serialize<T: Serializer>(&self, serializer: T) -> Result<T::Ok, T::Error> {
+        let status = !self.status.conditions.is_empty();
+        let mut map = serializer.serialize_map(Some(3 + usize::from(status)))?;
+        map.serialize_entry("kind", &S::KIND)?;
+        map.serialize_entry("metadata", &self.metadata)?;
+        map.serialize_entry("spec", &self.spec)?;
+        if status {
+            map.serialize_entry("status", &self.status)?;
+        }
+        map.end()
+    }
+}
+
+impl<'de, S: Spec> Deserialize<'de> for Resource<S> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        struct ResourceVisitor<S>(PhantomData<S>);
+
+        impl<'de, S: Spec> Visitor<'de> for ResourceVisitor<S> {
+            type Value = Resource<S>;
+
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "a resource of kind {}", S::KIND)
+            }
+
+            fn visit_map<A: MapAccess<'de>>(self, map: A) -> Result<Resource<S>, A::Error> {
+                Parts::default().read(map)
+            }
+        }
+
+        deserializer.deserialize_map(ResourceVisitor(PhantomData))
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(field_identifier, rename_all = "camelCase")]
+pub(crate) enum Field {
+    Kind,
+    Metadata,
+    Spec,
+    Status,
+}
+
+/// The fields of a resource whose kind has not been read yet.
+#[derive(Default)]
+pub(crate) struct Parts {
+    pub(crate) kind: Option<Kind>,
+    metadata: Option<Metadata>,
+    spec: Option<serde_json::Value>,
+    status: Option<Status>,
+}
+
+impl Parts {
+    /// Reads fields up to and including `kind`. A spec that comes before it is buffered, which
+    /// loses the position of errors within it.
+    pub(crate) fn read_kind<'de, A: MapAccess<'de>>(
+        &mut self,
+        map: &mut A,
+    ) -> Result<Kind, A::Error> {
+        while let Some(field) = map.next_key::<Field>()? {
+            match field {
+                Field::Kind => {
+                    let kind = map.next_value()?;
+                    self.kind = Some(kind);
+                    return Ok(kind);
+                }
+                Field::Spec => set(&mut self.spec, "spec", map.next_value()?)?,
+                Field::Metadata => set(&mut self.metadata, "metadata", map.next_value()?)?,
+                Field::Status => set(&mut self.status, "status", map.next_value()?)?,
+            }
+        }
+        Err(A::Error::missing_field("kind"))
+    }
+
+    pub(crate) fn read<'de, S: Spec, A: MapAccess<'de>>(
+        mut self,
+        mut map: A,
+    ) -> Result<Resource<S>, A::Error> {
+        let mut spec = None;
+        while let Some(field) = map.next_key::<Field>()? {
+            match field {
+                Field::Kind => {
+                    let kind = map.next_value_seed(Exactly(S::KIND))?;
+                    set(&mut self.kind, "kind", kind)?;
+                }
+                Field::Spec => set(&mut spec, "spec", map.next_value::<S>()?)?,
+                Field::Metadata => set(&mut self.metadata, "metadata", map.next_value()?)?,
+                Field::Status => set(&mut self.status, "status", map.next_value()?)?,
+            }
+        }
+        match (self.spec, &spec) {
+            (Some(_), Some(_)) => return Err(A::Error::duplicate_field("spec")),
+            (Some(value), None) => {
+                let early = serde_json::from_value(value);
+                spec = Some(early.map_err(|error| A::Error::custom(format!("spec: {error}")))?);
+            }
+            (None, _) => {}
+        }
+        self.kind.ok_or_else(|| A::Error::missing_field("kind"))?;
+        Ok(Resource {
+            metadata: self
+                .metadata
+                .ok_or_else(|| A::Error::missing_field("metadata"))?,
+            spec: spec.ok_or_else(|| A::Error::missing_field("spec"))?,
+            status: self.status.unwrap_or_default(),
+        })
+    }
+}
+
+fn set<T, E: serde::de::Error>(
+    slot: &mut Option<T>,
+    name: &'static str,
+    value: T,
+) -> Result<(), E> {
+    if slot.is_some() {
+        return Err(E::duplicate_field(name));
+    }
+    *slot = Some(value);
+    Ok(())
+}
+
+struct Exactly(Kind);
+
+impl<'de> DeserializeSeed<'de> for Exactly {
+    type Value = Kind;
+
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<Kind, D::Error> {
+        let kind = Kind::deserialize(deserializer)?;
+        if kind != self.0 {
+            let message = format!("kind {kind} where {} is expected", self.0);
+            return Err(D::Error::custom(message));
+        }
+        Ok(kind)
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-resource/src/time.rs
@@ -0,0 +1,103 @@
+use std::fmt;
+use std::str::FromStr;
+use std::time::{Duration, SystemTime};
+
+use serde::{Deserialize, Serialize};
+
+/// A point in time, written as RFC 3339 text in UTC, such as `2026-03-01T06:00:00Z`.
+///
+/// Precision is one millisecond, so that the text and the value determine each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Timestamp(SystemTime);
+
+impl Timestamp {
+    /// Rounds a time down to milliseconds. Times before 1970 become the start of 1970, and times
+    /// after 9999, which RFC 3339 cannot express, the end of 9999.
+    #[must_use]
+    pub fn new(time: SystemTime) -> Self {
+        let since = time.duration_since(SystemTime::UNIX_EPOCH);
+        let millis = since.unwrap_or_default().as_millis().min(Self::LAST_MILLIS);
+        let millis = u64::try_from(millis).expect("bounded by the last millisecond");
+        Timestamp(SystemTime::UNIX_EPOCH + Duration::from_millis(millis))
+    }
+
+    /// 9999-12-31T23:59:59.999Z.
+    const LAST_MILLIS: u128 = 253_402_300_799_999;
+
+    /// Returns the time.
+    #[must_use]
+    pub const fn time(self) -> SystemTime {
+        self.0
+    }
+}
+
+impl fmt::Display for Timestamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let since = self.0.duration_since(SystemTime::UNIX_EPOCH);
+        if since.unwrap_or_default().subsec_millis() == 0 {
+            humantime::format_rfc3339_seconds(self.0).fmt(f)
+        } else {
+            humantime::format_rfc3339_millis(self.0).fmt(f)
+        }
+    }
+}
+
+impl FromStr for Timestamp {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        humantime::parse_rfc3339(text)
+            .map(Timestamp::new)
+            .map_err(|_| format!("{text:?} is not a UTC time such as \"2026-03-01T06:00:00Z\""))
+    }
+}
+
+impl From<Timestamp> for String {
+    fn from(time: Timestamp) -> String {
+        time.to_string()
+    }
+}
+
+impl TryFrom<String> for Timestamp {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        text.parse()
+    }
+}
+
+/// A length of time, written as text with units, such as `30s` or `1h 30m`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Span(pub Duration);
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        humantime::format_duration(self.0).fmt(f)
+    }
+}
+
+impl FromStr for Span {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        humantime::parse_duration(text)
+            .map(Span)
+            .map_err(|error| format!("{text:?} is not a duration such as \"30s\": {error}"))
+    }
+}
+
+impl From<Span> for String {
+    fn from(span: Span) -> String {
+        span.to_string()
+    }
+}
+
+impl TryFrom<String> for Span {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        text.parse()
+    }
+}
