--- /dev/null
+++ b/crates/ebonylug-admission/src/settings.rs
@@ -0,0 +1,257 @@
+use std::time::Duration;
+
+use ebonylug_core::{Incarnation, Tokens};
+
+/// What stands behind the sidecar.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A model engine. Work is counted in tokens.
+    Model,
+    /// A plain service. Each call costs one token, and the ceiling is its concurrency.
+    Service {
+        /// Calls that the service may run at the same time.
+        concurrency: u32,
+    },
+}
+
+/// Settings of an [`Admission`](crate::Admission).
+///
+/// ```
+/// use std::time::Duration;
+/// use ebonylug_admission::Settings;
+/// use ebonylug_core::{Incarnation, Tokens};
+///
+/// let settings = Settings::model(Incarnation(7))
+///     .cold_limit(Tokens(8_192))
+///     .retention(Duration::from_secs(300));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) kind: Kind,
+    pub(crate) cold_limit: Tokens,
+    pub(crate) cold_streams: u32,
+    pub(crate) cold_probe: Duration,
+    pub(crate) warm_samples: u32,
+    pub(crate) warm_time: Duration,
+    pub(crate) floor: Tokens,
+    pub(crate) ceiling: Tokens,
+    pub(crate) step: Tokens,
+    pub(crate) window: Duration,
+    pub(crate) grow_below: f64,
+    pub(crate) shrink_above: f64,
+    pub(crate) shrink_factor: f64,
+    pub(crate) best_window: Duration,
+    pub(crate) silent_factor: f64,
+    pub(crate) silent_samples: u32,
+    pub(crate) retention: Duration,
+    pub(crate) max_attempts: usize,
+    pub(crate) max_tombstones: usize,
+    pub(crate) refusal_memory: usize,
+    pub(crate) reservation: Duration,
+    pub(crate) max_reservations: usize,
+    pub(crate) batch_share: f64,
+    pub(crate) guards_fences: bool,
+}
+
+impl Settings {
+    /// Creates the default settings for a model engine.
+    #[must_use]
+    pub fn model(incarnation: Incarnation) -> Self {
+        Settings {
+            incarnation,
+            kind: Kind::Model,
+            cold_limit: Tokens(4_096),
+            cold_streams: 2,
+            cold_probe: Duration::from_secs(2),
+            warm_samples: 8,
+            warm_time: Duration::from_secs(5),
+            floor: Tokens(2_048),
+            ceiling: Tokens(4_000_000),
+            step: Tokens(1_024),
+            window: Duration::from_millis(500),
+            // Decoding slows down with the number of streams long before an engine is overloaded,
+            // so growth tolerates twice the best latency.
+            grow_below: 2.0,
+            shrink_above: 3.0,
+            shrink_factor: 0.7,
+            best_window: Duration::from_secs(60),
+            silent_factor: 8.0,
+            // One slow answer can be a single evicted prefix.
+            silent_samples: 3,
+            retention: Duration::from_secs(600),
+            max_attempts: 65_536,
+            max_tombstones: 16_384,
+            refusal_memory: 262_144,
+            reservation: Duration::from_secs(1),
+            max_reservations: 16,
+            batch_share: 0.0,
+            guards_fences: true,
+        }
+    }
+
+    /// Creates the default settings for a plain service with bounded concurrency.
+    #[must_use]
+    pub fn service(incarnation: Incarnation, concurrency: u32) -> Self {
+        let concurrency = concurrency.max(1);
+        Settings {
+            kind: Kind::Service { concurrency },
+            cold_limit: Tokens(1),
+            cold_streams: 1,
+            floor: Tokens((concurrency / 4).max(1).into()),
+            ceiling: Tokens(concurrency.into()),
+            step: Tokens(1),
+            // Calls of different kinds differ in time, and their size is not known.
+            grow_below: 8.0,
+            shrink_above: 16.0,
+            silent_factor: 64.0,
+            ..Settings::model(incarnation)
+        }
+    }
+
+    /// Sets the load that a cold target is known to handle.
+    #[must_use]
+    pub fn cold_limit(mut self, limit: Tokens) -> Self {
+        self.cold_limit = limit;
+        self
+    }
+
+    /// Sets the number of streams that a cold target is known to handle.
+    #[must_use]
+    pub fn cold_streams(mut self, streams: u32) -> Self {
+        self.cold_streams = streams.max(1);
+        self
+    }
+
+    /// Sets how long a cold target stands empty before it gets one request above its limit.
+    ///
+    /// Without such a request, a target that is offered only large requests would stay cold.
+    #[must_use]
+    pub fn cold_probe(mut self, time: Duration) -> Self {
+        self.cold_probe = time;
+        self
+    }
+
+    /// Sets what ends a cold start: good first tokens in a row, and the least time.
+    #[must_use]
+    pub fn warm_after(mut self, samples: u32, time: Duration) -> Self {
+        self.warm_samples = samples;
+        self.warm_time = time;
+        self
+    }
+
+    /// Sets the range of the limit. The ceiling of a service is its concurrency.
+    #[must_use]
+    pub fn limits(mut self, floor: Tokens, ceiling: Tokens) -> Self {
+        self.floor = floor.max(Tokens(1));
+        self.ceiling = match self.kind {
+            Kind::Model => ceiling,
+            Kind::Service { concurrency } => ceiling.min(Tokens(concurrency.into())),
+        };
+        self
+    }
+
+    /// Sets the additive growth of the limit for each window.
+    #[must_use]
+    pub fn step(mut self, step: Tokens) -> Self {
+        self.step = step;
+        self
+    }
+
+    /// Sets the least time between two changes of the limit.
+    #[must_use]
+    pub fn window(mut self, window: Duration) -> Self {
+        self.window = window;
+        self
+    }
+
+    /// Sets the latencies, relative to the target's best, up to which the limit grows and above
+    /// which it shrinks.
+    #[must_use]
+    pub fn tolerance(mut self, grow_below: f64, shrink_above: f64) -> Self {
+        self.grow_below = grow_below;
+        self.shrink_above = shrink_above.max(grow_below);
+        self
+    }
+
+    /// Sets the factor by which the limit shrinks, between 0 and 1.
+    #[must_use]
+    pub fn shrink_factor(mut self, factor: f64) -> Self {
+        self.shrink_factor = factor.clamp(0.0, 1.0);
+        self
+    }
+
+    /// Sets the age at which a best latency may be replaced by a higher one seen at low load.
+    #[must_use]
+    pub fn best_window(mut self, window: Duration) -> Self {
+        self.best_window = window;
+        self
+    }
+
+    /// Sets what counts as a silent return to cold: first tokens in a row at low load whose
+    /// latency is `factor` times the best.
+    #[must_use]
+    pub fn silent_cold(mut self, factor: f64, samples: u32) -> Self {
+        self.silent_factor = factor;
+        self.silent_samples = samples.max(1);
+        self
+    }
+
+    /// Sets how long ended attempts, tombstones and refusals are remembered.
+    ///
+    /// Entries must not offer or revoke an attempt later than this after they first sent it.
+    #[must_use]
+    pub fn retention(mut self, retention: Duration) -> Self {
+        self.retention = retention;
+        self
+    }
+
+    /// Sets the bound on running and remembered attempts together.
+    #[must_use]
+    pub fn max_attempts(mut self, bound: usize) -> Self {
+        self.max_attempts = bound;
+        self
+    }
+
+    /// Sets the bound on tombstones.
+    #[must_use]
+    pub fn max_tombstones(mut self, bound: usize) -> Self {
+        self.max_tombstones = bound;
+        self
+    }
+
+    /// Sets the number of refusals for each retention period that the filter is sized for.
+    #[must_use]
+    pub fn refusal_memory(mut self, refusals: usize) -> Self {
+        self.refusal_memory = refusals;
+        self
+    }
+
+    /// Sets how long room is kept for a refused interactive request, and for how many of them.
+    #[must_use]
+    pub fn reservation(mut self, time: Duration, bound: usize) -> Self {
+        self.reservation = time;
+        self.max_reservations = bound;
+        self
+    }
+
+    /// Sets the share of the limit, 0 to 1, down to which running batch work is not preempted.
+    ///
+    /// A value above 0 lets interactive work be refused while batch work runs.
+    #[must_use]
+    pub fn batch_share(mut self, share: f64) -> Self {
+        self.batch_share = share.clamp(0.0, 1.0);
+        self
+    }
+
+    /// Sets whether the sidecar refuses old fencing numbers in place of its target.
+    #[must_use]
+    pub fn guards_fences(mut self, guards: bool) -> Self {
+        self.guards_fences = guards;
+        self
+    }
+
+    pub(crate) fn clamp(&self, limit: Tokens) -> Tokens {
+        limit.max(self.floor).min(self.ceiling)
+    }
+}
