routing: add the Router with queue, choice of targets, ledger and retry budget

Change: a first complete version of the crate: targets in an arena with a room index by route and version, queues by tier with deadline slack and fairness, shares of versions, prefix hints, cost estimates, the attempt ledger and the retry budget.

--- /dev/null
+++ b/crates/ebonylug-routing/src/poll.rs
@@ -0,0 +1,233 @@
+use std::time::Instant;
+
+use ebonylug_core::{Class, Offer, Reason, Refusal, Tokens};
+use smallvec::SmallVec;
+
+use crate::choice::{Chosen, Wanted};
+use crate::key::Interned;
+use crate::ledger::Stage;
+use crate::prefix::Holder;
+use crate::target::Send;
+use crate::{Action, Actions, Dispatch, RequestKey, RouteKey, Router, TargetKind, VersionKey};
+
+/// What one pass over the queues has found out. Room only shrinks during a pass, so that what
+/// is blocked stays blocked.
+#[derive(Debug, Default)]
+struct Pass {
+    blocked: SmallVec<[(RouteKey, VersionKey); 4]>,
+    /// Routes on which interactive requests wait for room.
+    waiting: SmallVec<[RouteKey; 4]>,
+}
+
+impl Router {
+    /// Decides what to do now: sends what fits, and refuses what has expired.
+    pub fn poll(&mut self, now: Instant) -> Actions {
+        self.expire(now);
+        self.targets.wake(now);
+        self.release_parked(now);
+        self.queue.review(now, &self.settings);
+        let mut actions = std::mem::take(&mut self.pending);
+        let mut pass = Pass::default();
+        self.dispatch(now, Class::Interactive, &mut pass, &mut actions);
+        pass.blocked.clear();
+        self.dispatch(now, Class::Batch, &mut pass, &mut actions);
+        actions
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some((deadline, key)) = self.queue.first_deadline() {
+            if deadline > now {
+                break;
+            }
+            self.give_up(key, Refusal::new(Reason::Deadline));
+        }
+    }
+
+    /// Lets requests go on that have waited for the retry budget, the most urgent first.
+    fn release_parked(&mut self, now: Instant) {
+        while !self.parked.is_empty() && self.budget.spend(now) {
+            let (_, key) = self.parked.pop_first().expect("there is a parked request");
+            let entry = self.ledger.entry_mut(key);
+            entry.stage = Stage::Queued;
+            self.queue.line_up(now, key, entry);
+        }
+    }
+
+    fn dispatch(&mut self, now: Instant, class: Class, pass: &mut Pass, actions: &mut Actions) {
+        let mut turns = self.queue.turns(class);
+        if class == Class::Batch {
+            turns.retain(|(_, route)| !pass.waiting.contains(route));
+        }
+        while let Some(index) = (0..turns.len()).min_by_key(|&index| turns[index].0) {
+            let route = turns[index].1;
+            let Some(dispatch) = self.dispatch_one(now, class, route, pass) else {
+                turns.swap_remove(index);
+                continue;
+            };
+            actions.push(Action::Dispatch(dispatch));
+            match self.queue.turn(class, route) {
+                Some(turn) => turns[index].0 = turn,
+                None => {
+                    turns.swap_remove(index);
+                }
+            }
+        }
+    }
+
+    /// Sends the first request of a route that has a target, if any.
+    fn dispatch_one(
+        &mut self,
+        now: Instant,
+        class: Class,
+        route: RouteKey,
+        pass: &mut Pass,
+    ) -> Option<Dispatch> {
+        // A request that waits holds up the others for the same version, or a large request
+        // would wait for ever behind small ones; but it does not hold up other versions.
+        let versions = self.routes[route.index()].shares.len();
+        let lookahead = if versions > 1 {
+            self.settings.lookahead
+        } else {
+            1
+        };
+        for key in self.queue.heads(class, route, lookahead) {
+            let drawn = self.version_of(key)?;
+            let fallback = self.routes[route.index()].shares.fallback(drawn);
+            for version in [Some(drawn), fallback].into_iter().flatten() {
+                if pass.blocked.contains(&(route, version)) {
+                    continue;
+                }
+                if let Some(chosen) = self.choose(key, version, pass) {
+                    self.fall_back(key, drawn, version);
+                    return Some(self.send(now, key, chosen));
+                }
+                self.block(class, route, version, pass);
+            }
+            let blocked = pass.blocked.iter().filter(|(other, _)| *other == route);
+            if blocked.count() == versions {
+                return None;
+            }
+        }
+        None
+    }
+
+    /// Returns the version that was drawn for a request, or draws one.
+    fn version_of(&mut self, key: RequestKey) -> Option<VersionKey> {
+        let entry = self.ledger.entry_mut(key);
+        let shares = &mut self.routes[entry.request.route.index()].shares;
+        if let Some((version, epoch)) = entry.drawn {
+            // A request that has run in part stays with its version as long as that may be
+            // used, so that its answer does not come from two versions.
+            let stays = epoch == shares.epoch() || (entry.ran && shares.share(version) > 0.0);
+            if stays {
+                return Some(version);
+            }
+            if !entry.ran {
+                shares.undo(version);
+            }
+        }
+        let version = shares.draw(entry.request.id)?;
+        entry.drawn = Some((version, shares.epoch()));
+        Some(version)
+    }
+
+    /// Counts a request for another version than the one that was drawn.
+    fn fall_back(&mut self, key: RequestKey, drawn: VersionKey, version: VersionKey) {
+        if drawn == version {
+            return;
+        }
+        let entry = self.ledger.entry_mut(key);
+        let shares = &mut self.routes[entry.request.route.index()].shares;
+        shares.fall_back(drawn, version);
+        entry.drawn = Some((version, shares.epoch()));
+    }
+
+    fn choose(&mut self, key: RequestKey, version: VersionKey, pass: &Pass) -> Option<Chosen> {
+        let entry = self.ledger.entry(key);
+        let class = entry.request.tier.class;
+        let service = self.routes[entry.request.route.index()].kind == TargetKind::Service;
+        let wanted = Wanted {
+            class,
+            route: entry.request.route,
+            version,
+            input: entry.input,
+            output: entry.output,
+            prefix: if service { &[] } else { &entry.request.prefix },
+            home: entry.home,
+            barred: if class == Class::Batch {
+                &pass.waiting
+            } else {
+                &[]
+            },
+        };
+        self.chooser.choose(&self.targets, &wanted)
+    }
+
+    /// Notes that a version has no room.
+    fn block(&self, class: Class, route: RouteKey, version: VersionKey, pass: &mut Pass) {
+        pass.blocked.push((route, version));
+        let group = self.targets.group(route, version);
+        let serves = group.is_some_and(|group| group.tree.total().limit > 0);
+        // Without a serving target there is nothing to keep free for interactive requests.
+        if class == Class::Interactive && serves && !pass.waiting.contains(&route) {
+            pass.waiting.push(route);
+        }
+    }
+
+    fn send(&mut self, now: Instant, key: RequestKey, chosen: Chosen) -> Dispatch {
+        let entry = self.ledger.entry_mut(key);
+        self.queue.remove(key, entry);
+        let request = &entry.request;
+        if !request.tier.is_interactive() {
+            self.batch_sent += 1;
+            self.queue.charge(entry);
+        }
+        if entry.next == 0 {
+            self.budget.earn();
+        }
+        let prompt = entry.input - chosen.cached;
+        let send = Send {
+            request: key,
+            number: entry.next,
+            class: request.tier.class,
+            cost: prompt + entry.output,
+            at: now,
+        };
+        let target = self
+            .targets
+            .get(chosen.target)
+            .expect("the chosen target exists");
+        let holder = Holder {
+            target: chosen.target,
+            generation: target.generation,
+        };
+        let incarnation = target
+            .report()
+            .expect("a target with room has a report")
+            .incarnation;
+        self.chooser.prefixes().insert(&request.prefix, holder);
+        self.targets.sent(chosen.target, send);
+        let attempt = self.ledger.start(key, chosen.target, send);
+        let entry = self.ledger.entry(key);
+        let request = &entry.request;
+        let offer = Offer {
+            attempt,
+            incarnation,
+            revision: self.revision,
+            tier: request.tier,
+            organisation: self.organisations.name(request.organisation).clone(),
+            prompt,
+            cached: chosen.cached.min(entry.input),
+            output: entry.output.max(Tokens(1)),
+            fingerprint: request.fingerprint,
+            repeat: request.repeat,
+            offset: request.offset,
+            fence: None,
+        };
+        Dispatch {
+            request: key,
+            target: chosen.target,
+            offer,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-routing/src/prefix.rs
@@ -0,0 +1,116 @@
+use std::hash::{BuildHasherDefault, Hasher};
+
+use smallvec::SmallVec;
+
+use crate::TargetKey;
+use crate::recent::Recent;
+
+/// Targets that are remembered for each block.
+const HOLDERS: usize = 2;
+
+/// Remembers which targets probably hold a prefix in their cache.
+///
+/// The index is a hint: it learns from dispatches and from cache events that are late and have
+/// gaps. A hash stands for the whole prefix up to its block, so that a gap in the middle does
+/// no harm.
+#[derive(Debug)]
+pub(crate) struct PrefixIndex {
+    blocks: Recent<u64, Holders, BuildHasherDefault<BlockHasher>>,
+}
+
+/// A target in one state of its cache: `generation` rises when the cache is lost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Holder {
+    pub(crate) target: TargetKey,
+    pub(crate) generation: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Holders([Option<Holder>; HOLDERS]);
+
+/// Block hashes are uniform already, so they are used as they are.
+#[derive(Debug, Default)]
+pub(crate) struct BlockHasher(u64);
+
+impl PrefixIndex {
+    pub(crate) fn new(bound: usize) -> Self {
+        PrefixIndex {
+            blocks: Recent::new(bound),
+        }
+    }
+
+    /// Remembers that `holder` has, or will soon have, the prefix.
+    pub(crate) fn insert(&mut self, prefix: &[u64], holder: Holder) {
+        for &block in prefix {
+            self.blocks.renew(block).insert(holder);
+        }
+    }
+
+    /// Forgets that `target` has the blocks.
+    pub(crate) fn remove(&mut self, blocks: &[u64], target: TargetKey) {
+        for block in blocks {
+            if let Some(holders) = self.blocks.get_mut(block) {
+                holders.remove(target);
+            }
+        }
+    }
+
+    /// Returns the accepted holders of the longest known part, and its length in blocks.
+    pub(crate) fn longest(
+        &self,
+        prefix: &[u64],
+        accept: impl Fn(Holder) -> bool,
+    ) -> (SmallVec<[TargetKey; HOLDERS]>, usize) {
+        for (index, block) in prefix.iter().enumerate().rev() {
+            let Some(Holders(holders)) = self.blocks.get(block) else {
+                continue;
+            };
+            let accepted = holders.iter().flatten().filter(|&&holder| accept(holder));
+            let targets: SmallVec<[TargetKey; HOLDERS]> = accepted.map(|h| h.target).collect();
+            if !targets.is_empty() {
+                return (targets, index + 1);
+            }
+        }
+        (SmallVec::new(), 0)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.blocks.len()
+    }
+}
+
+impl Holders {
+    /// Puts the holder first; the one that was named longest ago drops out.
+    fn insert(&mut self, holder: Holder) {
+        let [first, second] = self.0;
+        let other = match first {
+            Some(first) if first.target == holder.target => second,
+            first => first,
+        };
+        self.0 = [Some(holder), other];
+    }
+
+    fn remove(&mut self, target: TargetKey) {
+        for slot in &mut self.0 {
+            if slot.is_some_and(|holder| holder.target == target) {
+                *slot = None;
+            }
+        }
+    }
+}
+
+impl Hasher for BlockHasher {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for &byte in bytes {
+            self.0 = self.0.rotate_left(8) ^ u64::from(byte);
+        }
+    }
+
+    fn write_u64(&mut self, value: u64) {
+        self.0 = value;
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-routing/src/queue.rs
@@ -0,0 +1,316 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use ebonylug_core::{Class, Tier, Tokens};
+use smallvec::SmallVec;
+
+use crate::fairness::Fairness;
+use crate::key::Interned;
+use crate::ledger::Entry;
+use crate::workload::Workload;
+use crate::{OrganisationKey, RequestKey, RouteKey, Settings};
+
+/// Where a request stands among all that wait: first by urgency of the tier, then by deadline,
+/// then by arrival. A request keeps its position for its whole life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Position {
+    pub(crate) tier: Tier,
+    pub(crate) deadline: Deadline,
+    pub(crate) sequence: u64,
+}
+
+/// Where a batch request stands among those of its organisation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct BatchPosition {
+    deadline: Deadline,
+    rank: u8,
+    sequence: u64,
+}
+
+/// An optional deadline; the order puts requests without one last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Deadline {
+    At(Instant),
+    Never,
+}
+
+/// The order in which the first requests of different routes are tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Turn {
+    rank: u8,
+    deadline: Deadline,
+    sequence: u64,
+}
+
+/// The requests that wait, in several orders.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    lanes: Vec<Lane>,
+    /// Routes with waiting requests.
+    interactive: BTreeSet<RouteKey>,
+    batch: BTreeSet<RouteKey>,
+    /// Requests that may be shed, since they have not run.
+    sheddable: BTreeMap<Position, RequestKey>,
+    deadlines: BTreeSet<(Instant, RequestKey)>,
+    len: usize,
+    batch_len: usize,
+    work: Tokens,
+    weights: BTreeMap<OrganisationKey, u32>,
+}
+
+/// The waiting requests of one route.
+#[derive(Debug, Default)]
+struct Lane {
+    interactive: BTreeMap<Position, RequestKey>,
+    batch: BTreeMap<BatchPosition, RequestKey>,
+    fair: Fairness,
+    workload: Workload,
+}
+
+impl Queue {
+    /// Adds a request that waits for a target.
+    pub(crate) fn insert(&mut self, now: Instant, key: RequestKey, entry: &mut Entry) {
+        self.len += 1;
+        self.batch_len += usize::from(!entry.position.tier.is_interactive());
+        self.work += entry.cost;
+        if !entry.ran {
+            self.sheddable.insert(entry.position, key);
+        }
+        if let Deadline::At(deadline) = entry.position.deadline {
+            self.deadlines.insert((deadline, key));
+        }
+        self.line_up(now, key, entry);
+    }
+
+    /// Removes a request that waits.
+    pub(crate) fn remove(&mut self, key: RequestKey, entry: &mut Entry) {
+        self.len -= 1;
+        self.batch_len -= usize::from(!entry.position.tier.is_interactive());
+        self.work -= entry.cost;
+        self.sheddable.remove(&entry.position);
+        if let Deadline::At(deadline) = entry.position.deadline {
+            self.deadlines.remove(&(deadline, key));
+        }
+        self.step_back(entry);
+    }
+
+    /// Makes a request that waits one that may be sent.
+    pub(crate) fn line_up(&mut self, now: Instant, key: RequestKey, entry: &mut Entry) {
+        let route = entry.request.route;
+        let position = entry.position;
+        let lane = self.lane_mut(route);
+        match position.tier.class {
+            Class::Interactive => {
+                lane.interactive.insert(position, key);
+                self.interactive.insert(route);
+            }
+            Class::Batch => {
+                lane.batch.insert(position.in_batch(), key);
+                lane.fair
+                    .insert(entry.request.organisation, position.in_batch(), key);
+                if let Deadline::At(deadline) = position.deadline {
+                    entry.group = Some(lane.workload.add(now, deadline, entry.cost));
+                }
+                self.batch.insert(route);
+            }
+        }
+    }
+
+    /// Makes a request that waits one that may not be sent for now. It still counts.
+    pub(crate) fn step_back(&mut self, entry: &mut Entry) {
+        let route = entry.request.route;
+        let position = entry.position;
+        let lane = self.lane_mut(route);
+        match position.tier.class {
+            Class::Interactive => {
+                lane.interactive.remove(&position);
+                if lane.interactive.is_empty() {
+                    self.interactive.remove(&route);
+                }
+            }
+            Class::Batch => {
+                lane.batch.remove(&position.in_batch());
+                lane.fair
+                    .remove(entry.request.organisation, position.in_batch());
+                if let Some(group) = entry.group.take() {
+                    lane.workload.remove(group, entry.cost);
+                }
+                if lane.batch.is_empty() {
+                    self.batch.remove(&route);
+                }
+            }
+        }
+    }
+
+    /// Returns the routes with waiting requests of a class, and whose turn comes first.
+    pub(crate) fn turns(&self, class: Class) -> SmallVec<[(Turn, RouteKey); 4]> {
+        let routes = match class {
+            Class::Interactive => &self.interactive,
+            Class::Batch => &self.batch,
+        };
+        let turn = |&route: &RouteKey| Some((self.turn(class, route)?, route));
+        routes.iter().filter_map(turn).collect()
+    }
+
+    /// Returns the turn of a route, or nothing if no request of the class waits there.
+    pub(crate) fn turn(&self, class: Class, route: RouteKey) -> Option<Turn> {
+        let lane = &self.lanes[route.index()];
+        match class {
+            Class::Interactive => {
+                let (position, _) = lane.interactive.first_key_value()?;
+                Some(Turn {
+                    rank: position.tier.rank,
+                    deadline: position.deadline,
+                    sequence: position.sequence,
+                })
+            }
+            Class::Batch => {
+                let (position, _) = lane.batch.first_key_value()?;
+                let urgent = lane.is_urgent(*position);
+                Some(Turn {
+                    rank: u8::from(!urgent),
+                    deadline: if urgent {
+                        position.deadline
+                    } else {
+                        Deadline::Never
+                    },
+                    sequence: position.sequence,
+                })
+            }
+        }
+    }
+
+    /// Returns the requests of a route in the order in which they are to be tried.
+    pub(crate) fn heads(
+        &self,
+        class: Class,
+        route: RouteKey,
+        most: usize,
+    ) -> SmallVec<[RequestKey; 16]> {
+        let lane = &self.lanes[route.index()];
+        match class {
+            Class::Interactive => lane.interactive.values().copied().take(most).collect(),
+            Class::Batch => {
+                let urgent = lane.batch.iter().take_while(|(p, _)| lane.is_urgent(**p));
+                urgent
+                    .map(|(_, &key)| key)
+                    .chain(lane.fair.heads())
+                    .take(most)
+                    .collect()
+            }
+        }
+    }
+
+    /// Returns the least urgent request that has not run.
+    pub(crate) fn least(&self) -> Option<(Tier, RequestKey)> {
+        let (position, &key) = self.sheddable.last_key_value()?;
+        Some((position.tier, key))
+    }
+
+    /// Returns the first deadline of a waiting request.
+    pub(crate) fn first_deadline(&self) -> Option<(Instant, RequestKey)> {
+        self.deadlines.first().copied()
+    }
+
+    /// Charges an organisation for a batch request that is being sent.
+    pub(crate) fn charge(&mut self, entry: &Entry) {
+        let org = entry.request.organisation;
+        let weight = self.weight(org);
+        self.lane_mut(entry.request.route)
+            .fair
+            .charge(org, entry.cost, weight);
+    }
+
+    /// Takes back a charge for work that was not done.
+    pub(crate) fn refund(&mut self, entry: &Entry, work: Tokens) {
+        let org = entry.request.organisation;
+        let weight = self.weight(org);
+        self.lane_mut(entry.request.route)
+            .fair
+            .refund(org, work, weight);
+    }
+
+    pub(crate) fn set_weight(&mut self, org: OrganisationKey, weight: u32) {
+        self.weights.insert(org, weight);
+    }
+
+    /// Counts batch work that was done.
+    pub(crate) fn done(&mut self, route: RouteKey, cost: Tokens) {
+        self.lane_mut(route).workload.done(cost);
+    }
+
+    /// Finds out which batch work is urgent, from time to time.
+    pub(crate) fn review(&mut self, now: Instant, settings: &Settings) {
+        for route in &self.batch {
+            self.lanes[route.index()].workload.review(now, settings);
+        }
+    }
+
+    /// Returns the batch requests of a route that have a deadline, by deadline.
+    pub(crate) fn by_deadline(
+        &self,
+        route: RouteKey,
+    ) -> impl Iterator<Item = (Instant, RequestKey)> + '_ {
+        let batch = self.lanes[route.index()].batch.iter();
+        batch.map_while(|(position, &key)| match position.deadline {
+            Deadline::At(deadline) => Some((deadline, key)),
+            Deadline::Never => None,
+        })
+    }
+
+    pub(crate) fn workload(&self, route: RouteKey) -> &Workload {
+        &self.lanes[route.index()].workload
+    }
+
+    pub(crate) fn batch_routes(&self) -> impl Iterator<Item = RouteKey> + '_ {
+        self.batch.iter().copied()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(crate) fn has_batch(&self) -> bool {
+        self.batch_len > 0
+    }
+
+    pub(crate) fn work(&self) -> Tokens {
+        self.work
+    }
+
+    fn weight(&self, org: OrganisationKey) -> u32 {
+        self.weights.get(&org).copied().unwrap_or(1)
+    }
+
+    fn lane_mut(&mut self, route: RouteKey) -> &mut Lane {
+        if self.lanes.len() <= route.index() {
+            self.lanes.resize_with(route.index() + 1, Lane::default);
+        }
+        &mut self.lanes[route.index()]
+    }
+}
+
+impl Lane {
+    fn is_urgent(&self, position: BatchPosition) -> bool {
+        match position.deadline {
+            Deadline::At(deadline) => Some(deadline) <= self.workload.horizon(),
+            Deadline::Never => false,
+        }
+    }
+}
+
+impl Position {
+    pub(crate) fn in_batch(self) -> BatchPosition {
+        BatchPosition {
+            deadline: self.deadline,
+            rank: self.tier.rank,
+            sequence: self.sequence,
+        }
+    }
+}
+
+impl From<Option<Instant>> for Deadline {
+    fn from(deadline: Option<Instant>) -> Self {
+        deadline.map_or(Deadline::Never, Deadline::At)
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-routing/src/room.rs
@@ -0,0 +1,110 @@
+use ebonylug_core::Class;
+
+/// What the choice needs to know of one target, or the sum over several.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Room {
+    /// Room for interactive work; the largest one, for several targets.
+    pub(crate) interactive: u64,
+    /// Room for batch work; the largest one, for several targets.
+    pub(crate) batch: u64,
+    /// Work inside the targets that serve at present.
+    pub(crate) load: u64,
+    /// The limit on this work.
+    pub(crate) limit: u64,
+}
+
+/// Finds a target with enough room in logarithmic time.
+///
+/// A tree of maxima over the targets of one version on one route. The search starts at a
+/// position that the caller draws at random, so that several entries with the same reports
+/// find different targets.
+#[derive(Debug, Default)]
+pub(crate) struct RoomTree {
+    /// The root is at 1, the children of `n` at `2n` and `2n + 1`, the leaves from `width`.
+    nodes: Vec<Room>,
+    width: usize,
+}
+
+impl Room {
+    pub(crate) fn of(&self, class: Class) -> u64 {
+        match class {
+            Class::Interactive => self.interactive,
+            Class::Batch => self.batch,
+        }
+    }
+
+    fn join(self, other: Room) -> Room {
+        Room {
+            interactive: self.interactive.max(other.interactive),
+            batch: self.batch.max(other.batch),
+            load: self.load.saturating_add(other.load),
+            limit: self.limit.saturating_add(other.limit),
+        }
+    }
+}
+
+impl RoomTree {
+    /// Sets the room at a position; the tree grows as needed.
+    pub(crate) fn set(&mut self, position: usize, room: Room) {
+        if position >= self.width {
+            self.grow(position + 1);
+        }
+        let mut node = self.width + position;
+        self.nodes[node] = room;
+        while node > 1 {
+            node /= 2;
+            self.nodes[node] = self.nodes[2 * node].join(self.nodes[2 * node + 1]);
+        }
+    }
+
+    pub(crate) fn get(&self, position: usize) -> Room {
+        self.nodes[self.width + position]
+    }
+
+    /// Returns the maxima and sums over all positions.
+    pub(crate) fn total(&self) -> Room {
+        self.nodes.get(1).copied().unwrap_or_default()
+    }
+
+    /// Returns the first position from `start` on, cyclically, with room for `need`.
+    pub(crate) fn find(&self, class: Class, need: u64, start: usize) -> Option<usize> {
+        let need = need.max(1);
+        if self.total().of(class) < need {
+            return None;
+        }
+        let position = self.find_after(class, need, start);
+        position.or_else(|| self.find_after(class, need, 0))
+    }
+
+    fn find_after(&self, class: Class, need: u64, start: usize) -> Option<usize> {
+        let mut node = self.width + start;
+        while self.nodes[node].of(class) < need {
+            // Climbs as long as the node is the last child, then goes to its sibling.
+            while node % 2 == 1 {
+                if node == 1 {
+                    return None;
+                }
+                node /= 2;
+            }
+            node += 1;
+        }
+        while node < self.width {
+            node *= 2;
+            if self.nodes[node].of(class) < need {
+                node += 1;
+            }
+        }
+        Some(node - self.width)
+    }
+
+    fn grow(&mut self, positions: usize) {
+        let width = positions.next_power_of_two();
+        let leaves: Vec<Room> = self.nodes.drain(..).skip(self.width).collect();
+        self.nodes = vec![Room::default(); 2 * width];
+        self.nodes[width..width + leaves.len()].copy_from_slice(&leaves);
+        for node in (1..width).rev() {
+            self.nodes[node] = self.nodes[2 * node].join(self.nodes[2 * node + 1]);
+        }
+        self.width = width;
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-routing/src/router.rs
@@ -0,0 +1,481 @@
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use ebonylug_core::{AttemptId, LoadReport, Name, Reason, Refusal, RequestId, Revision, Tokens};
+
+use crate::budget::RetryBudget;
+use crate::choice::Chooser;
+use crate::estimate::Estimator;
+use crate::key::{Interned, Interner};
+use crate::ledger::{Entry, Ledger, Stage};
+use crate::prefix::Holder;
+use crate::queue::{Position, Queue};
+use crate::shares::Shares;
+use crate::targets::Targets;
+use crate::workload::bounded_secs;
+use crate::{
+    Action, Actions, AtRisk, Backlog, Cancelled, OrganisationKey, Request, RequestKey, RouteKey,
+    Settings, TargetInfo, TargetKey, TargetKind, TargetState, VersionKey, ZoneKey,
+};
+
+/// A request that has produced more than expected is expected to go on for this part of the
+/// expectation.
+const OVERRUN: f64 = 0.25;
+
+/// Queues the requests of an entry and chooses targets for them.
+///
+/// See the [crate documentation](crate) for an overview and an example.
+#[derive(Debug)]
+pub struct Router {
+    pub(crate) settings: Settings,
+    pub(crate) targets: Targets,
+    pub(crate) routes: Vec<Route>,
+    pub(crate) queue: Queue,
+    pub(crate) ledger: Ledger,
+    pub(crate) chooser: Chooser,
+    pub(crate) budget: RetryBudget,
+    /// Requests that wait for the retry budget.
+    pub(crate) parked: BTreeMap<Position, RequestKey>,
+    /// Batch requests with a live attempt.
+    pub(crate) batch_sent: usize,
+    /// Requests that were given up since the last `poll`.
+    pub(crate) pending: Actions,
+    pub(crate) organisations: Interner<OrganisationKey>,
+    pub(crate) revision: Revision,
+    estimator: Estimator,
+    route_names: Interner<RouteKey>,
+    versions: Interner<VersionKey>,
+    zones: Interner<ZoneKey>,
+    sequence: u64,
+}
+
+/// What is known of a route.
+#[derive(Debug, Default)]
+pub(crate) struct Route {
+    pub(crate) kind: TargetKind,
+    pub(crate) shares: Shares,
+    /// Mean time from dispatch to answer, in seconds per token of cost.
+    pub(crate) pace: f64,
+    targets: usize,
+}
+
+impl Router {
+    /// Creates a router without targets. Two routers with equal settings and seeds make equal
+    /// decisions from equal events.
+    #[must_use]
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Router {
+            targets: Targets::default(),
+            routes: Vec::new(),
+            queue: Queue::default(),
+            ledger: Ledger::new(settings.capacity),
+            chooser: Chooser::new(&settings, seed),
+            budget: RetryBudget::new(&settings),
+            parked: BTreeMap::new(),
+            batch_sent: 0,
+            pending: Actions::new(),
+            organisations: Interner::new(),
+            revision: Revision::default(),
+            estimator: Estimator::new(&settings),
+            route_names: Interner::new(),
+            versions: Interner::new(),
+            zones: Interner::new(),
+            sequence: 0,
+            settings,
+        }
+    }
+
+    /// Returns the key of a route.
+    pub fn route_key(&mut self, name: &Name) -> RouteKey {
+        let key = self.route_names.key(name);
+        if self.routes.len() <= key.index() {
+            self.routes.resize_with(key.index() + 1, Route::default);
+        }
+        key
+    }
+
+    /// Returns the key of a version.
+    pub fn version_key(&mut self, name: &Name) -> VersionKey {
+        self.versions.key(name)
+    }
+
+    /// Returns the key of an availability zone.
+    pub fn zone_key(&mut self, name: &Name) -> ZoneKey {
+        self.zones.key(name)
+    }
+
+    /// Returns the key of an organisation.
+    pub fn organisation_key(&mut self, name: &Name) -> OrganisationKey {
+        self.organisations.key(name)
+    }
+
+    /// Returns the name of a version.
+    #[must_use]
+    pub fn version_name(&self, key: VersionKey) -> &Name {
+        self.versions.name(key)
+    }
+
+    /// Returns the name of a route.
+    #[must_use]
+    pub fn route_name(&self, key: RouteKey) -> &Name {
+        self.route_names.name(key)
+    }
+
+    /// Adds a live target. It gets no work before its first report.
+    pub fn add_target(&mut self, mut info: TargetInfo) -> TargetKey {
+        info.routes.sort_unstable();
+        info.routes.dedup();
+        for route in &info.routes {
+            let route = &mut self.routes[route.index()];
+            route.targets += 1;
+            route.kind = info.kind;
+        }
+        self.targets.add(info)
+    }
+
+    /// Removes a target. Attempts that are live there stay so until their outcome is reported.
+    pub fn remove_target(&mut self, key: TargetKey) {
+        let Some(info) = self.targets.remove(key) else {
+            return;
+        };
+        for route in &info.routes {
+            self.routes[route.index()].targets -= 1;
+        }
+    }
+
+    /// Sets whether a target may get work.
+    pub fn set_target_state(&mut self, key: TargetKey, state: TargetState) {
+        self.targets.set_state(key, state);
+    }
+
+    /// Scales the limits of the targets in a zone, for interactive and for batch work. Zero
+    /// stops new work.
+    pub fn set_zone_factor(&mut self, zone: ZoneKey, interactive: f64, batch: f64) {
+        self.targets.set_zone_factor(zone, [interactive, batch]);
+    }
+
+    /// Sets the shares of the versions of a route. A version that is not named gets no work;
+    /// neither does any version before the first call.
+    pub fn set_shares(&mut self, route: RouteKey, shares: &[(VersionKey, f64)]) {
+        self.routes[route.index()].shares.set(shares);
+    }
+
+    /// Sets the weight of an organisation in the fair order of batch work; 1 by default.
+    pub fn set_weight(&mut self, organisation: OrganisationKey, weight: u32) {
+        self.queue.set_weight(organisation, weight);
+    }
+
+    /// Sets the configuration revision that offers carry.
+    pub fn set_revision(&mut self, revision: Revision) {
+        self.revision = revision;
+    }
+
+    /// Applies a load report, unless a newer one is known.
+    pub fn report(&mut self, now: Instant, target: TargetKey, report: &LoadReport) {
+        self.targets
+            .apply(now, target, report, self.settings.round_trip);
+    }
+
+    /// Learns that a request of an organisation produced `output` on a route.
+    pub fn learn(&mut self, organisation: OrganisationKey, route: RouteKey, output: Tokens) {
+        self.estimator.learn(organisation, route, output);
+    }
+
+    /// Learns from a cache event that a target holds prefix blocks.
+    pub fn cached(&mut self, target: TargetKey, blocks: &[u64]) {
+        let Some(known) = self.targets.get(target) else {
+            return;
+        };
+        let generation = known.generation;
+        self.chooser
+            .prefixes()
+            .insert(blocks, Holder { target, generation });
+    }
+
+    /// Learns from a cache event that a target has dropped prefix blocks.
+    pub fn evicted(&mut self, target: TargetKey, blocks: &[u64]) {
+        self.chooser.prefixes().remove(blocks, target);
+    }
+
+    /// Accepts a request, or refuses it as not run.
+    ///
+    /// If the queue is full, the least urgent waiting request that has not run is shed, which
+    /// may be this one. An interactive request is not shed while batch work waits or runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request was refused: the deadline has passed, no target serves the
+    /// route, the queue is full, or a request with this id has not ended.
+    pub fn enqueue(&mut self, now: Instant, mut request: Request) -> Result<RequestKey, Refusal> {
+        if self.find(request.id).is_some() {
+            return Err(Refusal::new(Reason::Invalid));
+        }
+        let route = self.routes.get(request.route.index());
+        if route.is_none_or(|route| route.targets == 0) {
+            return Err(Refusal::new(Reason::NoTarget));
+        }
+        if request.deadline.is_some_and(|deadline| deadline <= now) {
+            return Err(Refusal::new(Reason::Deadline));
+        }
+        request.prefix.truncate(self.settings.blocks);
+        let mut entry = self.entry(request);
+        self.make_room(&entry)?;
+        self.sequence += 1;
+        entry.position.sequence = self.sequence;
+        let key = self.ledger.insert(entry);
+        self.queue.insert(now, key, self.ledger.entry_mut(key));
+        Ok(key)
+    }
+
+    /// Withdraws a request whose caller is gone.
+    pub fn cancel(&mut self, key: RequestKey) -> Cancelled {
+        let Some(entry) = self.ledger.get(key) else {
+            return Cancelled::Ended;
+        };
+        let Stage::Sent(target, send) = entry.stage else {
+            self.end_waiting(key);
+            return Cancelled::Waiting;
+        };
+        let attempt = AttemptId {
+            request: entry.request.id,
+            number: send.number,
+        };
+        self.targets.ended(target, send);
+        self.end_sent(key);
+        Cancelled::Sent { attempt, target }
+    }
+
+    /// Returns when `poll` has something to do even if nothing else happens.
+    #[must_use]
+    pub fn next_wake(&self, now: Instant) -> Option<Instant> {
+        let pending = (!self.pending.is_empty()).then_some(now);
+        let deadline = self.queue.first_deadline().map(|(deadline, _)| deadline);
+        let pause = self.targets.next_wake();
+        let retry = (!self.parked.is_empty()).then(|| self.budget.next(now));
+        [pending, deadline, pause, retry]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// Returns the request with this id, if it has not ended.
+    #[must_use]
+    pub fn find(&self, id: RequestId) -> Option<RequestKey> {
+        self.ledger.find(id)
+    }
+
+    /// Returns a request that has not ended.
+    #[must_use]
+    pub fn request(&self, key: RequestKey) -> Option<&Request> {
+        self.ledger.get(key).map(|entry| &entry.request)
+    }
+
+    /// Returns a target that has not been removed.
+    #[must_use]
+    pub fn target(&self, key: TargetKey) -> Option<&TargetInfo> {
+        self.targets.get(key).map(|target| &target.info)
+    }
+
+    /// Returns the live attempts at a target, for example to revoke them when it goes silent.
+    #[must_use]
+    pub fn attempts_at(&self, target: TargetKey) -> Vec<AttemptId> {
+        let attempt = |entry: &Entry| match entry.stage {
+            Stage::Sent(at, send) if at == target => Some(AttemptId {
+                request: entry.request.id,
+                number: send.number,
+            }),
+            _ => None,
+        };
+        self.ledger
+            .iter()
+            .filter_map(|(_, entry)| attempt(entry))
+            .collect()
+    }
+
+    /// Counts the requests that have not ended, by tier.
+    #[must_use]
+    pub fn backlog(&self) -> Backlog {
+        let mut backlog = Backlog::default();
+        for (_, entry) in self.ledger.iter() {
+            let tier = entry.request.tier;
+            let index = backlog.tiers.binary_search_by_key(&tier, |&(tier, _)| tier);
+            let index = index.unwrap_or_else(|index| {
+                backlog.tiers.insert(index, (tier, Default::default()));
+                index
+            });
+            let counts = &mut backlog.tiers[index].1;
+            if let Stage::Sent(..) = entry.stage {
+                counts.sent += 1;
+                counts.sent_work += entry.cost;
+            } else {
+                counts.waiting += 1;
+                counts.waiting_work += entry.cost;
+            }
+        }
+        backlog
+    }
+
+    /// Returns the waiting batch requests that will probably miss their deadline, so that
+    /// their callers can be told early.
+    ///
+    /// The forecast divides the work up to each deadline by the measured throughput, or by the
+    /// reported speed of the targets before anything was measured.
+    #[must_use]
+    pub fn batch_at_risk(&self, now: Instant) -> Vec<AtRisk> {
+        let mut late = Vec::new();
+        for route in self.queue.batch_routes() {
+            let rate = self.reported_rate(route);
+            let mut work = Tokens::ZERO;
+            for (deadline, request) in self.queue.by_deadline(route) {
+                let entry = self.ledger.entry(request);
+                work += entry.cost;
+                let measured = self.queue.workload(route).time_for(work);
+                let wait = measured.unwrap_or_else(|| bounded_secs(work.as_f64() / rate.max(1.0)));
+                let run = bounded_secs(self.routes[route.index()].pace * entry.cost.as_f64());
+                let expected = (rate > 0.0).then(|| now + wait.max(run));
+                if expected.is_none_or(|expected| expected > deadline) {
+                    late.push(AtRisk {
+                        request,
+                        id: entry.request.id,
+                        deadline,
+                        expected,
+                    });
+                }
+            }
+        }
+        late
+    }
+
+    /// Returns the number of entries in all tables whose size depends on the traffic.
+    #[must_use]
+    pub fn footprint(&self) -> usize {
+        self.ledger.len() + self.queue.len() + self.estimator.len() + self.chooser.hints()
+    }
+
+    /// Reports whether batch work waits or runs anywhere in the subset, so that interactive
+    /// work must not be shed.
+    pub(crate) fn batch_exists(&self) -> bool {
+        self.queue.has_batch() || self.batch_sent > 0 || self.targets.run_batch()
+    }
+
+    /// Computes the cost of a request from its offset.
+    pub(crate) fn estimate(&self, request: &Request) -> (Tokens, Tokens) {
+        if self.routes[request.route.index()].kind == TargetKind::Service {
+            return (Tokens::ZERO, Tokens(1));
+        }
+        let offset = Tokens(request.offset);
+        let limit = request.max_output;
+        let expected = self
+            .estimator
+            .expected(request.organisation, request.route, limit);
+        let rest = (expected - offset).max(expected.scale(OVERRUN));
+        let output = rest.min(limit - offset).max(Tokens(1));
+        (request.prompt + offset, output)
+    }
+
+    /// Forgets a request that waits.
+    pub(crate) fn end_waiting(&mut self, key: RequestKey) -> Option<Entry> {
+        let mut entry = self.ledger.end(key)?;
+        self.queue.remove(key, &mut entry);
+        self.parked.remove(&entry.position);
+        let shares = &mut self.routes[entry.request.route.index()].shares;
+        if let Some((version, epoch)) = entry.drawn
+            && !entry.ran
+            && epoch == shares.epoch()
+        {
+            shares.undo(version);
+        }
+        Some(entry)
+    }
+
+    /// Forgets a request that was sent.
+    pub(crate) fn end_sent(&mut self, key: RequestKey) {
+        if let Some(entry) = self.ledger.end(key) {
+            self.batch_sent -= usize::from(!entry.request.tier.is_interactive());
+        }
+    }
+
+    /// Ends a request that waits, as refused if it has not run.
+    pub(crate) fn give_up(&mut self, request: RequestKey, refusal: Refusal) {
+        let Some(entry) = self.end_waiting(request) else {
+            return;
+        };
+        let id = entry.request.id;
+        self.pending.push(if entry.ran {
+            let reason = refusal.reason;
+            Action::Abort {
+                request,
+                id,
+                reason,
+            }
+        } else {
+            Action::Shed {
+                request,
+                id,
+                refusal,
+            }
+        });
+    }
+
+    /// Sheds less urgent requests until a new one fits, or refuses the new one.
+    fn make_room(&mut self, entry: &Entry) -> Result<(), Refusal> {
+        let tier = entry.request.tier;
+        while self.is_over(entry.cost) {
+            match self.queue.least() {
+                Some((least, key)) if least > tier && !self.is_protected(least) => {
+                    self.give_up(key, Refusal::new(Reason::Shed));
+                }
+                _ if self.is_protected(tier) && self.queue.len() < self.settings.ceiling => break,
+                _ => return Err(Refusal::new(Reason::QueueFull)),
+            }
+        }
+        Ok(())
+    }
+
+    /// Reports whether a tier must not be shed at present.
+    pub(crate) fn is_protected(&self, tier: ebonylug_core::Tier) -> bool {
+        tier.is_interactive() && self.batch_exists()
+    }
+
+    fn is_over(&self, cost: Tokens) -> bool {
+        let full = self.queue.len() >= self.settings.capacity;
+        let laden = self.queue.len() > 0 && self.queue.work() + cost > self.settings.work;
+        full || laden
+    }
+
+    fn entry(&self, request: Request) -> Entry {
+        let (input, output) = self.estimate(&request);
+        let position = Position {
+            tier: request.tier,
+            deadline: request.deadline.into(),
+            sequence: 0,
+        };
+        Entry {
+            position,
+            stage: Stage::Queued,
+            input,
+            output,
+            cost: input + output,
+            group: None,
+            next: 0,
+            refusals: 0,
+            drawn: None,
+            home: None,
+            ran: request.offset > 0,
+            request,
+        }
+    }
+
+    /// Returns the mean reported speed of the serving targets of a route, over all of them.
+    fn reported_rate(&self, route: RouteKey) -> f64 {
+        let shares = &self.routes[route.index()].shares;
+        let rate = |version| {
+            let group = self.targets.group(route, version);
+            let serving = group.filter(|group| group.tree.total().limit > 0);
+            serving.map_or(0.0, |group| {
+                group.rate.max(1.0) * group.members.len() as f64
+            })
+        };
+        shares.keys().map(rate).sum()
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-routing/src/settings.rs
@@ -0,0 +1,167 @@
+use std::time::Duration;
+
+use ebonylug_core::Tokens;
+use serde::{Deserialize, Serialize};
+
+/// Settings of a [`Router`](crate::Router). Each field has a default.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Queued requests above which the lowest tier is shed.
+    pub capacity: usize,
+    /// Queued work above which the lowest tier is shed.
+    pub work: Tokens,
+    /// Queued requests above which even interactive requests are refused while batch work
+    /// exists. It bounds memory and belongs above the number of connections of the process.
+    pub ceiling: usize,
+    /// The longest network round trip to a sidecar. A report that arrives sooner than this
+    /// after a dispatch is assumed not to contain it.
+    pub round_trip: Duration,
+    /// Targets that are compared for each dispatch.
+    pub choices: usize,
+    /// The factor by which the speed of a cold target is discounted.
+    pub cold_speed: f64,
+    /// A prefix hint is followed if the target's utilisation is at most this multiple of the
+    /// average.
+    pub affinity_bound: f64,
+    /// Utilisation up to which a prefix hint is followed whatever the average is.
+    pub affinity_floor: f64,
+    /// Tokens of a prompt that one block hash covers.
+    pub block: Tokens,
+    /// Block hashes of a request that are used; the others are cut off.
+    pub blocks: usize,
+    /// Block hashes that the prefix index remembers.
+    pub hints: usize,
+    /// The first pause after a refusal by a target; it doubles up to `backoff_max`.
+    pub backoff: Duration,
+    /// The longest pause after a refusal by a target.
+    pub backoff_max: Duration,
+    /// Retries that may be made in a burst.
+    pub retry_burst: f64,
+    /// Retries that are earned by each first dispatch.
+    pub retry_ratio: f64,
+    /// Retries that are earned per second.
+    pub retry_rate: f64,
+    /// Refusals of an interactive request that cost no retry, if they come from stale reports.
+    pub free_refusals: u32,
+    /// Refusals after which a request is shed.
+    pub max_refusals: u32,
+    /// Expected output of a request before anything was learned.
+    pub initial_output: Tokens,
+    /// Spreads that are added to the mean for the expected output.
+    pub output_margin: f64,
+    /// Pairs of organisation and route whose output is remembered.
+    pub estimates: usize,
+    /// A batch request whose deadline is nearer than this goes before fair order.
+    pub urgent_slack: Duration,
+    /// Batch work is urgent if it needs more than the time to its deadline divided by this.
+    pub urgent_safety: f64,
+    /// Waiting requests that are looked at when the version of the first has no room.
+    pub lookahead: usize,
+}
+
+/// A setting is outside its range.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("setting {field}: {reason}")]
+pub struct SettingsError {
+    field: &'static str,
+    reason: &'static str,
+}
+
+impl Settings {
+    /// Checks that each setting is within its range.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field that is out of range.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let positive = "must be above zero";
+        let checks = [
+            ("capacity", self.capacity > 0, positive),
+            ("work", self.work > Tokens::ZERO, positive),
+            (
+                "ceiling",
+                self.ceiling >= self.capacity,
+                "must not be below capacity",
+            ),
+            ("choices", self.choices > 0, positive),
+            (
+                "cold_speed",
+                self.cold_speed > 0.0 && self.cold_speed <= 1.0,
+                "must be above 0 and at most 1",
+            ),
+            (
+                "affinity_bound",
+                self.affinity_bound >= 1.0,
+                "must be at least 1",
+            ),
+            (
+                "affinity_floor",
+                self.affinity_floor >= 0.0,
+                "must not be negative",
+            ),
+            ("block", self.block > Tokens::ZERO, positive),
+            ("backoff", !self.backoff.is_zero(), positive),
+            (
+                "backoff_max",
+                self.backoff_max >= self.backoff,
+                "must not be below backoff",
+            ),
+            ("retry_burst", self.retry_burst >= 1.0, "must be at least 1"),
+            (
+                "retry_ratio",
+                self.retry_ratio >= 0.0,
+                "must not be negative",
+            ),
+            ("retry_rate", self.retry_rate > 0.0, positive),
+            (
+                "output_margin",
+                self.output_margin >= 0.0,
+                "must not be negative",
+            ),
+            (
+                "urgent_safety",
+                self.urgent_safety >= 1.0,
+                "must be at least 1",
+            ),
+            ("lookahead", self.lookahead > 0, positive),
+        ];
+        for (field, valid, reason) in checks {
+            if !valid {
+                return Err(SettingsError { field, reason });
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            capacity: 4_096,
+            work: Tokens(64_000_000),
+            ceiling: 65_536,
+            round_trip: Duration::from_millis(5),
+            choices: 3,
+            cold_speed: 0.5,
+            affinity_bound: 1.25,
+            affinity_floor: 0.5,
+            block: Tokens(64),
+            blocks: 32,
+            hints: 65_536,
+            backoff: Duration::from_millis(50),
+            backoff_max: Duration::from_millis(1_600),
+            retry_burst: 50.0,
+            retry_ratio: 0.2,
+            retry_rate: 10.0,
+            free_refusals: 2,
+            max_refusals: 32,
+            initial_output: Tokens(256),
+            output_margin: 0.5,
+            estimates: 16_384,
+            urgent_slack: Duration::from_secs(60),
+            urgent_safety: 1.25,
+            lookahead: 16,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-routing/src/shares.rs
@@ -0,0 +1,157 @@
+use ebonylug_core::RequestId;
+use smallvec::SmallVec;
+
+use crate::VersionKey;
+
+/// The shares of traffic of the versions of one route.
+///
+/// A draw uses the hash of the request id, weighted by what each version is owed so far.
+/// Plain hashing would deviate from the shares by the square root of the number of requests;
+/// with the debts, the deviation stays within about one request.
+#[derive(Debug, Default)]
+pub(crate) struct Shares {
+    versions: SmallVec<[Version; 2]>,
+    epoch: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Version {
+    key: VersionKey,
+    share: f64,
+    /// Requests that the version should have had and did not have.
+    owed: f64,
+    /// The last change raised the share. Such a version gets no more than its share, even if
+    /// others have no room.
+    rising: bool,
+}
+
+impl Shares {
+    /// Sets the shares; what is not finite and positive counts as zero.
+    pub(crate) fn set(&mut self, shares: &[(VersionKey, f64)]) {
+        let positive = |share: f64| share.is_finite() && share > 0.0;
+        let total: f64 = shares.iter().map(|s| s.1).filter(|&s| positive(s)).sum();
+        let mut versions: SmallVec<[Version; 2]> = SmallVec::new();
+        for &(key, share) in shares {
+            if !positive(share) || versions.iter().any(|v| v.key == key) {
+                continue;
+            }
+            versions.push(self.changed(key, share / total));
+        }
+        versions.sort_by_key(|version| version.key);
+        let same = versions.len() == self.versions.len()
+            && versions
+                .iter()
+                .zip(&self.versions)
+                .all(|(a, b)| a.key == b.key && a.share == b.share);
+        if same {
+            return;
+        }
+        self.versions = versions;
+        self.epoch += 1;
+    }
+
+    /// Rises with each change of the shares.
+    pub(crate) fn epoch(&self) -> u32 {
+        self.epoch
+    }
+
+    pub(crate) fn share(&self, key: VersionKey) -> f64 {
+        self.versions
+            .iter()
+            .find(|v| v.key == key)
+            .map_or(0.0, |v| v.share)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.versions.len()
+    }
+
+    pub(crate) fn keys(&self) -> impl Iterator<Item = VersionKey> + '_ {
+        self.versions.iter().map(|version| version.key)
+    }
+
+    /// Draws a version for a request. Versions without a share are never drawn.
+    pub(crate) fn draw(&mut self, id: RequestId) -> Option<VersionKey> {
+        for version in &mut self.versions {
+            version.owed = (version.owed + version.share).clamp(-1.0, 1.0);
+        }
+        let total: f64 = self.versions.iter().map(|v| v.owed.max(0.0)).sum();
+        let mut point = unit(id) * total;
+        let mut drawn = None;
+        for (index, version) in self.versions.iter().enumerate() {
+            if version.owed <= 0.0 {
+                continue;
+            }
+            drawn = Some(index);
+            if point < version.owed {
+                break;
+            }
+            point -= version.owed;
+        }
+        // All debts can be paid at once after a change of the shares.
+        let index = drawn.or_else(|| self.largest())?;
+        self.versions[index].owed -= 1.0;
+        Some(self.versions[index].key)
+    }
+
+    /// Takes back a draw whose request was not sent.
+    pub(crate) fn undo(&mut self, key: VersionKey) {
+        for version in &mut self.versions {
+            version.owed -= version.share;
+            if version.key == key {
+                version.owed += 1.0;
+            }
+        }
+    }
+
+    /// Returns the version that may take a request for which `from` has no room: the one with
+    /// the largest share, unless it is rising itself.
+    pub(crate) fn fallback(&self, from: VersionKey) -> Option<VersionKey> {
+        let version = self.versions[self.largest()?];
+        (version.key != from && !version.rising).then_some(version.key)
+    }
+
+    /// Counts a request for `to` that was drawn for `from`.
+    pub(crate) fn fall_back(&mut self, from: VersionKey, to: VersionKey) {
+        for version in &mut self.versions {
+            if version.key == from {
+                version.owed = (version.owed + 1.0).min(1.0);
+            } else if version.key == to {
+                version.owed = (version.owed - 1.0).max(-1.0);
+            }
+        }
+    }
+
+    fn changed(&self, key: VersionKey, share: f64) -> Version {
+        let old = self.versions.iter().find(|v| v.key == key);
+        let before = old.map_or(0.0, |v| v.share);
+        let rising = match before {
+            _ if share >= 1.0 || self.versions.is_empty() || share < before => false,
+            before if share > before => true,
+            _ => old.is_some_and(|v| v.rising),
+        };
+        Version {
+            key,
+            share,
+            owed: old.map_or(0.0, |v| v.owed),
+            rising,
+        }
+    }
+
+    fn largest(&self) -> Option<usize> {
+        (0..self.versions.len()).max_by(|&a, &b| {
+            let (a, b) = (self.versions[a], self.versions[b]);
+            a.share.total_cmp(&b.share).then(b.key.cmp(&a.key))
+        })
+    }
+}
+
+/// Maps a request id to the interval from 0 to 1, uniformly (the finaliser of SplitMix64).
+fn unit(id: RequestId) -> f64 {
+    let mut hash = (id.0 >> 64) as u64 ^ (id.0 as u64);
+    hash = hash.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^= hash >> 31;
+    (hash >> 11) as f64 / (1_u64 << 53) as f64
+}
