--- a/crates/ebonylug-membership/src/lib.rs
+++ b/crates/ebonylug-membership/src/lib.rs
@@ -1,1 +1,51 @@
-//! Live targets from the instance list, heartbeats and leave notices, and subsets of targets.
+//! Live instances from the instance list, heartbeats and leave notices, and subsets of targets.
+//!
+//! The platform's instance list lags behind the facts and has outages, so it cannot decide by
+//! itself who gets work. Three sources are combined, from the strongest to the weakest:
+//!
+//! 1. A leave notice. The instance gets no new work until it is heard in a new incarnation,
+//!    whatever an older message or the list says.
+//! 2. A heartbeat. An instance that is heard stays, even if the list does not contain it.
+//! 3. The list. It introduces instances, and removes those that it lacks and that are silent.
+//!    While it is out, nobody is removed.
+//!
+//! [`subset`] chooses the targets that an entry keeps in contact with, since contact between
+//! all entries and all targets would cost more control traffic than a node may use.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//! use ebonylug_core::Incarnation;
+//! use ebonylug_membership::{MemberState, Membership, Settings};
+//! use ebonylug_platform::{InstanceRow, InstanceState};
+//!
+//! let start = Instant::now();
+//! let list = [InstanceRow {
+//!     instance: "i-7".into(),
+//!     zone: "liberia-a".into(),
+//!     state: InstanceState::Live,
+//!     data: "127.0.0.7:9000".into(),
+//!     control: "127.0.0.7:9001".into(),
+//!     target: Some("engine-7".into()),
+//! }];
+//! let mut membership = Membership::new(Settings::default());
+//! membership.apply_list(start, &list);
+//! membership.heartbeat(start, &"i-7".into(), Incarnation(1), None);
+//! assert_eq!(membership.state("i-7"), Some(MemberState::Live));
+//!
+//! membership.leave_notice(start, &"i-7".into(), Incarnation(1));
+//! // The list lags and still contains the instance as live.
+//! membership.apply_list(start + Duration::from_secs(1), &list);
+//! assert_eq!(membership.state("i-7"), Some(MemberState::Leaving));
+//! ```
+
+mod member;
+mod membership;
+mod settings;
+mod subset;
+
+pub use member::{Member, MemberReason, MemberState};
+pub use membership::{Change, Changes, Membership};
+pub use settings::{MAX_MEMBERS, Settings};
+pub use subset::{TargetIndex, TargetInfo, subset};
