standin: Add fakes of the platform, an engine and a plain service

The entry, the sidecar and the demo need targets and a platform on real sockets that fail on command.

Each fake runs its own xitca-web server with one worker thread. Its listener closes and opens again on the same port, and its connections stay known, so that a crash breaks all of them, a silent connection stays silent, and a hang-up is seen while there is nothing to write. xitca-web reports a hang-up only when a write fails.

--- /dev/null
+++ b/crates/ebonylug-standin/src/engine/mod.rs
@@ -0,0 +1,233 @@
+//! The fake of a model engine.
+
+mod cache;
+mod chat;
+mod generation;
+mod settings;
+mod state;
+
+pub use cache::{CacheChange, CacheEvent, blocks};
+pub use chat::{ChatRequest, Message};
+pub(crate) use settings::check;
+pub use settings::{EngineFaults, EngineSettings, Silence};
+pub use state::{EngineOrder, LoadedModel};
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use ebonylug_core::EngineReport;
+use http::{HeaderValue, Method, StatusCode};
+use serde_json::json;
+
+use self::generation::Generation;
+use self::state::{State, Verdict};
+use crate::server::{Broken, Call, Reply, Server, bind, failure, json as answer, streamed};
+use crate::{Result, Runs};
+
+/// A fake of a model engine, on a real socket. Dropping it stops it.
+///
+/// | endpoint | effect |
+/// | --- | --- |
+/// | `POST /v1/chat/completions` | runs a [`ChatRequest`]; header `x-resume-offset` continues it |
+/// | `GET /v1/models` | the loaded models with their versions, and the role |
+/// | `GET /health` | 200 |
+/// | `GET /load` | the [`EngineReport`] of some time ago |
+/// | `GET /cache-events?since=` | late [`CacheEvent`]s with gaps |
+/// | `POST /orders` | an [`EngineOrder`]; 409 if its fencing number is old and checked |
+/// | `GET /orders` | the orders that were applied |
+/// | `GET /runs` | [`Runs`] |
+/// | `GET`, `POST /admin/faults` | reads or replaces [`EngineFaults`] |
+pub struct Engine {
+    /// The address that the fake listens on.
+    pub addr: SocketAddr,
+    state: Arc<State>,
+    _server: Server,
+}
+
+impl Engine {
+    /// Starts a fake.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a setting is out of range or the address cannot be listened on.
+    pub fn start(settings: EngineSettings) -> Result<Engine> {
+        settings.check()?;
+        let net = bind(settings.listen)?;
+        let faults = settings.faults.clone();
+        let state = Arc::new(State::new(settings, net.clone()));
+        let served = state.clone();
+        let server = Server::start(net, move |call| {
+            let state = served.clone();
+            async move { handle(state, call).await }
+        })?;
+        state.set_faults(faults, None);
+        Ok(Engine {
+            addr: server.addr(),
+            state,
+            _server: server,
+        })
+    }
+
+    /// Stops the fake. Its port is free afterwards.
+    pub fn stop(self) {}
+
+    /// Breaks all connections. The engine starts again after the time down.
+    pub fn crash(&self) {
+        self.state.crash(None);
+    }
+
+    /// Makes the engine cold without a crash.
+    pub fn cool(&self) {
+        self.state.cool();
+    }
+
+    /// Returns the present faults.
+    #[must_use]
+    pub fn faults(&self) -> EngineFaults {
+        self.state.moving().faults.clone()
+    }
+
+    /// Replaces the faults.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a setting is out of range.
+    pub fn set_faults(&self, faults: EngineFaults) -> Result<()> {
+        faults.check()?;
+        self.state.set_faults(faults, None);
+        Ok(())
+    }
+
+    /// Returns what the engine has run.
+    #[must_use]
+    pub fn runs(&self) -> Runs {
+        self.state.moving().runs.clone()
+    }
+
+    /// Returns the present load, without the lag of `/load`.
+    #[must_use]
+    pub fn report(&self) -> EngineReport {
+        self.state.moving().report
+    }
+
+    /// Returns the loaded models.
+    #[must_use]
+    pub fn models(&self) -> Vec<LoadedModel> {
+        self.state.moving().models.clone()
+    }
+
+    /// Returns the orders that were applied, in order.
+    #[must_use]
+    pub fn orders(&self) -> Vec<EngineOrder> {
+        self.state.moving().orders.clone()
+    }
+}
+
+async fn handle(state: Arc<State>, call: Call) -> Result<Reply, Broken> {
+    let ok = StatusCode::OK;
+    let reply = match (&call.method, &*call.path) {
+        (&Method::POST, "/v1/chat/completions") => chat(&state, call).await?,
+        (&Method::POST, "/admin/faults") => faults(&state, &call),
+        (&Method::GET, "/admin/faults") => answer(ok, &state.moving().faults),
+        // Only the administration is reached on a connection that outlived a crash.
+        _ if !state.moving().up => return Err(Broken),
+        (&Method::GET, "/v1/models") => models(&state),
+        (&Method::GET, "/health") => answer(ok, &json!({ "status": "ok" })),
+        (&Method::GET, "/load") => answer(ok, &state.moving().load.get(Instant::now())),
+        (&Method::GET, "/cache-events") => cache_events(&state, &call),
+        (&Method::POST, "/orders") => order(&state, &call),
+        (&Method::GET, "/orders") => answer(ok, &state.moving().orders),
+        (&Method::GET, "/runs") => answer(ok, &state.moving().runs),
+        _ => failure(StatusCode::NOT_FOUND, "no such endpoint"),
+    };
+    Ok(reply)
+}
+
+async fn chat(state: &Arc<State>, call: Call) -> Result<Reply, Broken> {
+    let request: ChatRequest = match call.json() {
+        Ok(request) => request,
+        Err(reply) => return Ok(reply),
+    };
+    let offset = call.header("x-resume-offset").unwrap_or("0").parse();
+    let Some(offset) = offset.ok().filter(|offset| *offset <= request.max_tokens) else {
+        let message = "x-resume-offset is not a number up to max_tokens";
+        return Ok(failure(StatusCode::BAD_REQUEST, message));
+    };
+    let admitted = match state.admit(&request, call.header("ebonylug-attempt"), offset) {
+        Verdict::Run(admitted) => admitted,
+        Verdict::Fail => {
+            let message = "the engine fails as its settings demand";
+            return Ok(failure(StatusCode::INTERNAL_SERVER_ERROR, message));
+        }
+        Verdict::Crash => {
+            state.crash(None);
+            return Err(Broken);
+        }
+        Verdict::Down => return Err(Broken),
+        Verdict::NoModel => {
+            return Ok(failure(StatusCode::NOT_FOUND, "the model is not loaded"));
+        }
+    };
+    let version = admitted.model.version.clone();
+    let conn = call.conn.clone();
+    let mut generation = Generation::new(state.clone(), conn.clone(), admitted, &request, offset);
+    let mut reply = if request.stream {
+        streamed(conn, generation.events())
+    } else {
+        let text = generation.text().await?;
+        answer(StatusCode::OK, &generation.whole(&text))
+    };
+    name(&mut reply, "x-engine", &state.settings.name);
+    name(&mut reply, "x-version", &version);
+    Ok(reply)
+}
+
+fn faults(state: &Arc<State>, call: &Call) -> Reply {
+    let faults = match call.json::<EngineFaults>() {
+        Ok(faults) => faults,
+        Err(reply) => return reply,
+    };
+    if let Err(error) = faults.check() {
+        return failure(StatusCode::BAD_REQUEST, &error.to_string());
+    }
+    state.set_faults(faults, Some(call.conn.peer));
+    answer(StatusCode::OK, &state.moving().faults)
+}
+
+fn models(state: &State) -> Reply {
+    let moving = state.moving();
+    let models = json!({ "object": "list", "data": moving.models, "role": moving.role });
+    answer(StatusCode::OK, &models)
+}
+
+fn cache_events(state: &State, call: &Call) -> Reply {
+    let Ok(since) = call.query("since").unwrap_or("0").parse() else {
+        return failure(StatusCode::BAD_REQUEST, "`since` is not a number");
+    };
+    let moving = state.moving();
+    let events = moving.cache.events(Instant::now(), since);
+    let next = events.last().map_or(since, |event| event.sequence);
+    let body = json!({ "epoch": moving.report.epoch, "events": events, "next": next });
+    answer(StatusCode::OK, &body)
+}
+
+fn order(state: &Arc<State>, call: &Call) -> Reply {
+    let order: EngineOrder = match call.json() {
+        Ok(order) => order,
+        Err(reply) => return reply,
+    };
+    match state.order(order) {
+        Ok(()) => answer(StatusCode::ACCEPTED, &json!({ "applied": true })),
+        Err(fence) => {
+            let body = json!({ "applied": false, "fence": fence });
+            answer(StatusCode::CONFLICT, &body)
+        }
+    }
+}
+
+fn name(reply: &mut Reply, header: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        reply.headers_mut().insert(header, value);
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-standin/tests/engine.rs
@@ -0,0 +1,402 @@
+//! The fake engine over real sockets.
+
+mod common;
+
+use common::{Client, events, eventually};
+use ebonylug_standin::{ChatRequest, Engine, EngineFaults, EngineSettings, Silence};
+use http::{Method, StatusCode};
+use http_body_util::BodyExt;
+use serde_json::json;
+
+const CHAT: &str = "/v1/chat/completions";
+
+fn fast() -> EngineSettings {
+    EngineSettings {
+        scale: 0.0,
+        ..EngineSettings::default()
+    }
+}
+
+/// Tokens take so long that a stream does not end within a test.
+fn endless() -> EngineSettings {
+    EngineSettings {
+        decode_rate: 20.0,
+        prefill_rate: 1e9,
+        ..EngineSettings::default()
+    }
+}
+
+fn start(settings: EngineSettings) -> (Engine, Client) {
+    let engine = Engine::start(settings).unwrap();
+    let client = Client::new(engine.addr);
+    (engine, client)
+}
+
+/// Guards against answers that differ between engines, between the plain and the streamed form,
+/// and between one stream and its resumed parts.
+#[tokio::test]
+async fn answers_depend_on_the_prompt_only() {
+    let request = ChatRequest::user("summarise the shift log of mill 3", 12);
+    let (_a, a) = start(fast());
+    let (_b, b) = start(EngineSettings {
+        seed: 9,
+        batch_penalty: 0.5,
+        ..fast()
+    });
+    for client in [&a, &b] {
+        let plain = client.post(CHAT, &request).await.unwrap();
+        assert_eq!(plain.content(), request.answer(0));
+        assert_eq!(plain.json()["usage"]["completion_tokens"], 12);
+        let body = serde_json::to_vec(&request.clone().streamed()).unwrap();
+        for offset in [0, 1, 11, 12] {
+            let header = [("x-resume-offset", &*offset.to_string())];
+            let answer = client.send(Method::POST, CHAT, &header, body.clone()).await;
+            let (text, usage, done) = events(&answer.unwrap().body);
+            assert_eq!(text, request.answer(offset), "offset {offset}");
+            assert_eq!(usage["completion_tokens"], 12 - offset);
+            assert!(done);
+        }
+    }
+}
+
+/// Guards against invalid requests that are run.
+#[tokio::test]
+async fn invalid_requests_are_refused() {
+    let (engine, client) = start(fast());
+    let cases = [
+        ("{", "0", StatusCode::BAD_REQUEST),
+        (r#"{"messages": 1}"#, "0", StatusCode::BAD_REQUEST),
+        (
+            r#"{"messages": [], "max_tokens": 2}"#,
+            "3",
+            StatusCode::BAD_REQUEST,
+        ),
+        (
+            r#"{"messages": [], "model": "other"}"#,
+            "0",
+            StatusCode::NOT_FOUND,
+        ),
+    ];
+    for (body, offset, status) in cases {
+        let header = [("x-resume-offset", offset)];
+        let answer = client
+            .send(Method::POST, CHAT, &header, body)
+            .await
+            .unwrap();
+        assert_eq!(answer.status, status, "{body}");
+        assert!(answer.json()["error"]["message"].is_string());
+    }
+    assert_eq!(engine.runs().total, 0);
+}
+
+/// Guards against callers that hang up while their request goes on to use the engine, whether
+/// the answer is streamed or not.
+#[tokio::test]
+async fn closing_the_connection_cancels() {
+    let (engine, client) = start(endless());
+    let request = ChatRequest::user("draft", 1_000_000);
+    for (n, request) in [request.clone(), request.streamed()].iter().enumerate() {
+        let body = serde_json::to_vec(request).unwrap();
+        let caller = client.clone();
+        let call =
+            tokio::spawn(async move { caller.send(Method::POST, CHAT, &[], body).await.is_some() });
+        eventually("the stream runs", async || engine.report().running == 1).await;
+        call.abort();
+        eventually("the stream ends", async || engine.report().running == 0).await;
+        assert_eq!(engine.runs().cancelled, n as u64 + 1);
+    }
+}
+
+/// Guards against a cache that saves nothing, never evicts, or forgets the output of a cancelled
+/// stream that is to be resumed.
+#[tokio::test]
+async fn prefix_cache() {
+    let (engine, client) = start(EngineSettings {
+        cache_tokens: 64,
+        cache_block: 4,
+        cache_lag: 0,
+        cache_gaps: 0.5,
+        ..fast()
+    });
+    let cached = async |request: &ChatRequest, offset: &str| {
+        let body = serde_json::to_vec(request).unwrap();
+        let header = [("x-resume-offset", offset)];
+        let answer = client
+            .send(Method::POST, CHAT, &header, body)
+            .await
+            .unwrap();
+        let before = engine.report();
+        (
+            answer.json()["usage"]["prompt_tokens_details"]["cached_tokens"].as_u64(),
+            before.hits,
+        )
+    };
+    let words = |n: u32| (0..n).map(|n| format!("w{n} ")).collect::<String>();
+    // The role is a token, too.
+    let long = ChatRequest::user(&words(31), 8);
+    assert_eq!(cached(&long, "0").await, (Some(0), 0));
+    assert_eq!(cached(&long, "0").await, (Some(32), 32));
+    // The resumed run finds the prompt and the output of the run before.
+    assert_eq!(cached(&long, "8").await, (Some(32), 72));
+    let other = ChatRequest::user(&words(80).replace('w', "v"), 0);
+    assert_eq!(cached(&other, "0").await, (Some(0), 72));
+    assert_eq!(cached(&long, "0").await, (Some(0), 72));
+
+    let events = client.get("/cache-events?since=0").await;
+    let numbers: Vec<u64> = events["events"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|event| event["sequence"].as_u64().unwrap())
+        .collect();
+    assert!(numbers.is_sorted());
+    assert!(
+        (numbers.len() as u64) < *numbers.last().unwrap(),
+        "no gaps: {numbers:?}"
+    );
+    let changes = events.to_string();
+    assert!(changes.contains("stored") && changes.contains("evicted"));
+    let rest = client
+        .get(&format!("/cache-events?since={}", events["next"]))
+        .await;
+    assert_eq!(rest["events"], json!([]));
+}
+
+/// Guards against a cold engine that bears full load, and a crash that leaves connections,
+/// caches or the epoch as they were.
+#[tokio::test]
+async fn cold_start_and_crash() {
+    let (engine, client) = start(EngineSettings {
+        cold: 3_600_000,
+        cold_streams: 2,
+        down: 1,
+        load_lag: 0,
+        ..endless()
+    });
+    let body = serde_json::to_vec(&ChatRequest::user("draft", 1_000_000).streamed()).unwrap();
+    let mut streams = Vec::new();
+    for _ in 0..2 {
+        let answer = client.open(Method::POST, CHAT, &[], body.clone()).await;
+        streams.push(answer.unwrap().into_body());
+    }
+    eventually("both run", async || engine.report().running == 2).await;
+    assert_eq!(client.get("/load").await["epoch"], 1);
+    let third = client.send(Method::POST, CHAT, &[], body.clone()).await;
+    assert!(third.is_none());
+    for stream in streams {
+        assert!(
+            stream.collect().await.is_err(),
+            "a stream outlives the crash"
+        );
+    }
+    let runs = engine.runs();
+    assert_eq!((runs.crashes, runs.cold_peak, runs.finished), (1, 3, 0));
+    eventually("the engine is up", async || {
+        client.send(Method::GET, "/health", &[], "").await.is_some()
+    })
+    .await;
+    let report = client.get("/load").await;
+    assert_eq!(
+        (&report["epoch"], &report["running"]),
+        (&json!(2), &json!(0))
+    );
+}
+
+/// Guards against a down engine that takes connections, and a port that is lost while down.
+#[tokio::test]
+async fn down_engine_refuses_connections() {
+    let (engine, client) = start(EngineSettings {
+        down: 3_600_000,
+        ..endless()
+    });
+    client.get("/health").await;
+    let crash = EngineFaults {
+        crash: true,
+        ..EngineFaults::default()
+    };
+    let answer = client.post("/admin/faults", &crash).await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+    eventually("connections are refused", async || {
+        let error = tokio::net::TcpStream::connect(engine.addr).await.err();
+        error.is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+    })
+    .await;
+}
+
+/// Guards against faults that hit other requests than those they select.
+#[tokio::test]
+async fn faults_select_requests() {
+    let (engine, client) = start(EngineSettings {
+        models: vec!["a".into(), "b".into()],
+        ..fast()
+    });
+    let fail = EngineFaults {
+        fail_rate: 1.0,
+        ..EngineFaults::default()
+    };
+    let cases = [
+        ("at once", fail.clone(), [500, 500, 500]),
+        (
+            "after",
+            EngineFaults {
+                after: 2,
+                ..fail.clone()
+            },
+            [200, 200, 500],
+        ),
+        (
+            "above load",
+            EngineFaults {
+                above: 1,
+                ..fail.clone()
+            },
+            [200, 200, 200],
+        ),
+        (
+            "model",
+            EngineFaults {
+                model: Some("b".into()),
+                ..fail.clone()
+            },
+            [200, 500, 200],
+        ),
+        (
+            "version",
+            EngineFaults {
+                version: Some("2".into()),
+                ..fail
+            },
+            [200, 200, 200],
+        ),
+        ("none", EngineFaults::default(), [200, 200, 200]),
+    ];
+    for (name, faults, expected) in cases {
+        engine.set_faults(faults).unwrap();
+        for (model, status) in ["a", "b", "a"].into_iter().zip(expected) {
+            let mut request = ChatRequest::user("hello", 1);
+            request.model = Some(model.into());
+            let answer = client.post(CHAT, &request).await.unwrap();
+            assert_eq!(answer.status.as_u16(), status, "{name}, model {model}");
+        }
+    }
+    let cut = EngineFaults {
+        cut_rate: 1.0,
+        ..EngineFaults::default()
+    };
+    engine.set_faults(cut).unwrap();
+    let request = ChatRequest::user("hello", 8);
+    assert!(client.post(CHAT, &request).await.is_none());
+    assert!(client.post(CHAT, &request.streamed()).await.is_none());
+}
+
+/// Guards against a poisoned prompt that is answered, and one that crashes on other prompts.
+#[tokio::test]
+async fn poison_crashes() {
+    let (engine, client) = start(fast());
+    let faults = EngineFaults {
+        poison: Some("knot".into()),
+        ..EngineFaults::default()
+    };
+    engine.set_faults(faults).unwrap();
+    assert!(
+        client
+            .post(CHAT, &ChatRequest::user("a bow", 1))
+            .await
+            .is_some()
+    );
+    assert!(
+        client
+            .post(CHAT, &ChatRequest::user("a knot", 1))
+            .await
+            .is_none()
+    );
+    assert_eq!(engine.runs().crashes, 1);
+}
+
+/// Guards against silent connections that speak again, and new ones that are silent although
+/// only the open ones are to be.
+#[tokio::test]
+async fn silence() {
+    let (engine, client) = start(endless());
+    let body = serde_json::to_vec(&ChatRequest::user("draft", 1_000_000).streamed()).unwrap();
+    let answer = client.open(Method::POST, CHAT, &[], body).await.unwrap();
+    let mut stream = answer.into_body();
+    stream.frame().await.unwrap().unwrap();
+    let open = EngineFaults {
+        silence: Silence::Open,
+        ..EngineFaults::default()
+    };
+    engine.set_faults(open).unwrap();
+    engine.set_faults(EngineFaults::default()).unwrap();
+    // What was under way may still arrive; then nothing does.
+    let pause = std::time::Duration::from_millis(300);
+    while let Ok(frame) = tokio::time::timeout(pause, stream.frame()).await {
+        frame.expect("the stream ends").expect("the stream breaks");
+    }
+    Client::new(engine.addr).get("/health").await;
+
+    let all = EngineFaults {
+        silence: Silence::All,
+        ..EngineFaults::default()
+    };
+    engine.set_faults(all).unwrap();
+    let fresh = Client::new(engine.addr);
+    let health = fresh.get("/health");
+    assert!(tokio::time::timeout(pause, health).await.is_err());
+    let admin = fresh.post("/admin/faults", &EngineFaults::default()).await;
+    assert!(admin.is_some(), "the administration is silent");
+    Client::new(engine.addr).get("/health").await;
+}
+
+/// Guards against old orders that are applied by an engine that checks, and refused by one that
+/// does not; and a new version that keeps the old caches.
+#[tokio::test]
+async fn orders() {
+    for (check_fence, status, version) in [(true, 409, "2"), (false, 202, "3")] {
+        let (engine, client) = start(EngineSettings {
+            check_fence,
+            ..fast()
+        });
+        let load = |fence: u64, version: &str| json!({ "fence": fence, "load": { "id": "standin", "version": version } });
+        let answer = client.post("/orders", &load(5, "2")).await.unwrap();
+        assert_eq!(answer.status, StatusCode::ACCEPTED);
+        eventually("the version is loaded", async || {
+            &*engine.models()[0].version == "2"
+        })
+        .await;
+        assert_eq!(engine.report().epoch, 2);
+        let answer = client.post("/orders", &load(4, "3")).await.unwrap();
+        assert_eq!(answer.status.as_u16(), status);
+        eventually("the order is settled", async || {
+            &*engine.models()[0].version == version
+        })
+        .await;
+        let role = json!({ "fence": 6, "role": "prefill" });
+        client.post("/orders", &role).await.unwrap();
+        assert_eq!(client.get("/v1/models").await["role"], "prefill");
+    }
+}
+
+/// Guards against runs that are not counted, by which the tests of the product find duplicates.
+#[tokio::test]
+async fn runs_are_counted() {
+    let (engine, client) = start(fast());
+    let body = serde_json::to_vec(&ChatRequest::user("hello", 4)).unwrap();
+    for (attempt, offset) in [
+        ("00ab-0", "0"),
+        ("00ab-1", "0"),
+        ("00ab-2", "2"),
+        ("00cd-0", "0"),
+    ] {
+        let headers = [("ebonylug-attempt", attempt), ("x-resume-offset", offset)];
+        client
+            .send(Method::POST, CHAT, &headers, body.clone())
+            .await
+            .unwrap();
+    }
+    let runs = client.get("/runs").await;
+    assert_eq!(runs["requests"], json!({ "00ab": 2, "00cd": 1 }));
+    assert_eq!(runs["resumed"], json!({ "00ab": 1 }));
+    assert_eq!(runs["attempts"].as_object().unwrap().len(), 4);
+    assert_eq!((engine.runs().most(), engine.runs().finished), (2, 4));
+}
--- /dev/null
+++ b/crates/ebonylug-standin/tests/service.rs
@@ -0,0 +1,170 @@
+//! The fake service over real sockets.
+
+mod common;
+
+use common::{Client, eventually};
+use ebonylug_standin::{Canned, Service, ServiceFaults, ServiceSettings};
+use http::{Method, StatusCode};
+use serde_json::json;
+
+fn start(settings: ServiceSettings) -> (Service, Client) {
+    let service = Service::start(settings).unwrap();
+    let client = Client::new(service.addr);
+    (service, client)
+}
+
+/// Guards against bodies that are lost, and against duplicates that do not show.
+#[tokio::test]
+async fn stores_and_counts() {
+    let (service, client) = start(ServiceSettings::default());
+    for path in ["/orders", "/charges", "/snoozes"] {
+        let body = json!({ "rope": path }).to_string();
+        let mut ids = Vec::new();
+        for _ in 0..2 {
+            let key = [("idempotency-key", path)];
+            let answer = client
+                .send(Method::POST, path, &key, body.clone())
+                .await
+                .unwrap();
+            assert_eq!(answer.status, StatusCode::CREATED);
+            ids.push(answer.json()["id"].to_string());
+        }
+        assert_ne!(ids[0], ids[1], "the service must not hide a duplicate");
+        let stored = client.get(&format!("{path}/{}", ids[1])).await;
+        assert_eq!(stored.to_string(), body);
+        assert_eq!(service.runs().keys[path], 2);
+    }
+    let none = client
+        .send(Method::GET, "/orders/99", &[], "")
+        .await
+        .unwrap();
+    assert_eq!(none.status, StatusCode::NOT_FOUND);
+    assert_eq!(
+        client.get("/runs").await["bodies"]
+            .as_object()
+            .unwrap()
+            .len(),
+        3
+    );
+}
+
+/// Guards against statuses, headers and bodies that are not passed through.
+#[tokio::test]
+async fn echoes_and_canned_answers() {
+    let canned = Canned {
+        status: 418,
+        headers: [("x-shape".into(), "round".into())].into(),
+        body: "short".into(),
+    };
+    let (_service, client) = start(ServiceSettings {
+        answers: [("/teapot".into(), canned)].into(),
+        ..ServiceSettings::default()
+    });
+    let answer = client.send(Method::GET, "/teapot", &[], "").await.unwrap();
+    assert_eq!(
+        (answer.status.as_u16(), &*answer.body),
+        (418, &b"short"[..])
+    );
+    assert_eq!(answer.headers["x-shape"], "round");
+    let headers = [("x-mill", "3"), ("content-type", "text/csv")];
+    let answer = client
+        .send(Method::PUT, "/any?status=207", &headers, "1;2")
+        .await
+        .unwrap();
+    assert_eq!((answer.status.as_u16(), &*answer.body), (207, &b"1;2"[..]));
+    assert_eq!(answer.headers["x-mill"], "3");
+    assert_eq!(answer.headers["content-type"], "text/csv");
+}
+
+/// Guards against a fault on the wrong side of the effect.
+#[tokio::test]
+async fn faults_before_and_after_the_effect() {
+    let none = ServiceFaults::default();
+    let cases = [
+        (
+            "fail",
+            ServiceFaults {
+                fail: 1,
+                ..none.clone()
+            },
+            Some(500),
+            0,
+        ),
+        (
+            "crash before",
+            ServiceFaults {
+                crash_before: true,
+                ..none.clone()
+            },
+            None,
+            0,
+        ),
+        (
+            "crash after",
+            ServiceFaults {
+                crash_after: true,
+                ..none.clone()
+            },
+            None,
+            1,
+        ),
+        ("slow", ServiceFaults { slow: 1, ..none }, Some(201), 1),
+    ];
+    for (name, faults, status, applied) in cases {
+        let (service, client) = start(ServiceSettings {
+            down: 1,
+            ..ServiceSettings::default()
+        });
+        client.post("/admin/faults", &faults).await.unwrap();
+        let answer = client.post("/charges", &json!({ "cents": 1 })).await;
+        assert_eq!(
+            answer.map(|answer| answer.status.as_u16()),
+            status,
+            "{name}"
+        );
+        eventually("the service is up", async || {
+            client.send(Method::GET, "/health", &[], "").await.is_some()
+        })
+        .await;
+        let stored = client
+            .send(Method::GET, "/charges/1", &[], "")
+            .await
+            .unwrap();
+        let expected = if applied == 1 { 200 } else { 404 };
+        assert_eq!(stored.status, expected, "{name}");
+        assert_eq!(service.runs().bodies.len(), applied, "{name}");
+    }
+}
+
+/// Guards against a silent service that applies a call, or one that answers.
+#[tokio::test]
+async fn silence() {
+    let none = ServiceFaults::default();
+    let cases = [
+        (
+            ServiceFaults {
+                silent: true,
+                ..none.clone()
+            },
+            0,
+        ),
+        (
+            ServiceFaults {
+                silent_after: true,
+                ..none.clone()
+            },
+            1,
+        ),
+    ];
+    for (faults, applied) in cases {
+        let (service, client) = start(ServiceSettings::default());
+        service.set_faults(faults);
+        let body = json!({});
+        let call = client.post("/orders", &body);
+        let pause = std::time::Duration::from_millis(300);
+        assert!(tokio::time::timeout(pause, call).await.is_err());
+        assert_eq!(service.runs().bodies.len(), applied);
+        service.set_faults(none.clone());
+        assert_eq!(client.get("/load").await["epoch"], 1);
+    }
+}
