Publish configurations by compare-and-set and apply them monotonically

Cause: an accepted configuration must be in force everywhere within seconds and must never revert, although the store loses replies and goes down.

Change: Publisher (sections, manifest, then one transaction on the head row and a history row), fetch (missing sections only, every hash checked), ConfigState (what is in force and whom to ask), pollers (rendezvous) and History (watch). After a lost reply the same transaction is sent again and the history row of the revision is read back: the head row alone may have been replaced already. Also Document::differences for the watch.

Conclusion: accepted implies in the history, refused implies not in it; 504 is the only answer that leaves it open.

--- a/crates/ebonylug-config/src/lib.rs
+++ b/crates/ebonylug-config/src/lib.rs
@@ -1,1 +1,62 @@
-//! Publishing and applying configuration revisions.
+//! Publishing a configuration, and putting it in force in every process.
+//!
+//! A configuration is accepted when it is committed by compare-and-set on one head row of the
+//! table, `{revision, hash, token}`. The hash names a manifest in the object store, and the
+//! manifest names the sections of the document, so that a process which has the previous
+//! revision transfers only what changed.
+//!
+//! Three rules follow from the requirement that an accepted configuration never reverts:
+//!
+//! * **The revision in force never falls.** [`ConfigState`] ignores a lower revision, also one
+//!   from a peer or from a store that was restored from a backup.
+//! * **A process without a configuration is not ready.** It takes one from the store or, while
+//!   the store is down, from a peer. There is no built-in default that could be older than what
+//!   was accepted.
+//! * **A lost reply is resolved, not guessed.** Each commit also writes a history row for its
+//!   revision with the publisher's token. After a lost reply, [`Publisher`] reads that row: the
+//!   head row alone does not suffice, since another publisher may have replaced it in the
+//!   meantime.
+//!
+//! Only a few processes, chosen by [`pollers`], read the head row every second; the others learn
+//! of a higher revision from the messages of their peers.
+//!
+//! ```
+//! use ebonylug_config::{ConfigState, Fetched, Publisher, Settings, SourceId, StoreSource, fetch};
+//! use ebonylug_core::{Clock, Incarnation, ManualClock};
+//! use ebonylug_platform::MemoryPlatform;
+//! use ebonylug_resource::{Change, parse_resources};
+//!
+//! # let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+//! # runtime.block_on(async {
+//! let store = MemoryPlatform::new();
+//! let publisher = Publisher::new(store.clone(), Incarnation(1));
+//! let zone = r#"{ kind: "AvailabilityZone", metadata: { name: "canas-b" }, spec: {} }"#;
+//! let change = Change::put_all(parse_resources(zone)?);
+//! publisher.publish(&change).await?;
+//!
+//! let clock = ManualClock::new();
+//! let mut state = ConfigState::new(Settings::default(), clock.now());
+//! assert!(!state.is_ready());
+//! assert_eq!(state.tick(clock.now()), Some(SourceId::Store));
+//! let fetched = fetch(&StoreSource(store), state.snapshot()).await;
+//! state.fetched(clock.now(), &SourceId::Store, fetched.into());
+//! assert_eq!(state.revision().0, 1);
+//! # Ok::<(), ebonylug_resource::Problem>(())
+//! # }).unwrap();
+//! ```
+
+mod head;
+mod history;
+mod pollers;
+mod publisher;
+mod snapshot;
+mod source;
+mod state;
+
+pub use head::{HEAD_KEY, Head};
+pub use history::{Changes, History};
+pub use pollers::pollers;
+pub use publisher::Publisher;
+pub use snapshot::Snapshot;
+pub use source::{Error, Result, Source, StoreSource, fetch};
+pub use state::{Applied, ConfigState, Fetched, Settings, SourceId};
--- /dev/null
+++ b/crates/ebonylug-config/src/state.rs
@@ -0,0 +1,257 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ebonylug_core::{Name, Revision};
+use ebonylug_resource::Document;
+
+use crate::{Changes, History, Result, Snapshot};
+
+/// Intervals of [`ConfigState`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// How often a poller reads the head row.
+    pub poll: Duration,
+    /// How often another process reads it, in case its peers are cut off from the pollers.
+    pub check: Duration,
+    /// Wait after a fetch that failed.
+    pub retry: Duration,
+    /// When a fetch that has not ended counts as failed.
+    pub timeout: Duration,
+}
+
+impl Default for Settings {
+    /// With these values a change reaches a poller within 1 s, and a process whose first source
+    /// is silent has asked a second one 3 s after it heard of the revision. 1,010 processes that
+    /// check every 30 s cause 34 reads per second, 2 % of what the store bears.
+    fn default() -> Self {
+        Settings {
+            poll: Duration::from_secs(1),
+            check: Duration::from_secs(30),
+            retry: Duration::from_millis(200),
+            timeout: Duration::from_millis(1_500),
+        }
+    }
+}
+
+/// Where to fetch from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SourceId {
+    /// The platform's table and object store.
+    Store,
+    /// Another process.
+    Peer(Name),
+}
+
+/// How a fetch ended.
+#[derive(Clone, Debug)]
+pub enum Fetched {
+    /// The source has a higher revision.
+    New(Box<Snapshot>),
+    /// The source has no higher revision.
+    Nothing,
+    /// The source did not answer, or its answer was not valid.
+    Failed,
+}
+
+impl From<Result<Option<Snapshot>>> for Fetched {
+    fn from(result: Result<Option<Snapshot>>) -> Self {
+        match result {
+            Ok(Some(snapshot)) => Fetched::New(Box::new(snapshot)),
+            Ok(None) => Fetched::Nothing,
+            Err(error) => {
+                tracing::debug!("config: a fetch failed: {error}");
+                Fetched::Failed
+            }
+        }
+    }
+}
+
+/// Whether a fetched configuration was put in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// It is in force now.
+    InForce,
+    /// There was none, or it was not higher than the one in force.
+    Ignored,
+}
+
+/// The configuration in force in one process, and what to do to keep it current.
+///
+/// The owner calls [`tick`](Self::tick) often (every 100 ms), fetches from the source that it
+/// names, and reports the result with [`fetched`](Self::fetched). At most one fetch runs.
+#[derive(Debug)]
+pub struct ConfigState {
+    settings: Settings,
+    snapshot: Option<Arc<Snapshot>>,
+    history: History,
+    peers: Vec<Name>,
+    poller: bool,
+    /// Peers that have announced a higher revision, most recent last.
+    announced: Vec<(Name, Revision)>,
+    fetching: Option<(SourceId, Instant)>,
+    /// Counts the fetches of a process without a configuration.
+    turn: usize,
+    next_poll: Instant,
+    not_before: Instant,
+}
+
+/// Peers with a higher revision that are remembered; one is enough unless it fails.
+const MAX_ANNOUNCED: usize = 8;
+
+impl ConfigState {
+    /// Creates the state of a process without a configuration.
+    #[must_use]
+    pub fn new(settings: Settings, now: Instant) -> Self {
+        ConfigState {
+            settings,
+            snapshot: None,
+            history: History::default(),
+            peers: Vec::new(),
+            poller: false,
+            announced: Vec::new(),
+            fetching: None,
+            turn: 0,
+            next_poll: now,
+            not_before: now,
+        }
+    }
+
+    /// Sets the peers that a process without a configuration may ask.
+    pub fn set_peers(&mut self, peers: Vec<Name>) {
+        self.peers = peers;
+    }
+
+    /// Sets whether this process is one of the [`pollers`](crate::pollers).
+    pub fn set_poller(&mut self, now: Instant, poller: bool) {
+        if poller && !self.poller {
+            self.next_poll = now;
+        }
+        self.poller = poller;
+    }
+
+    /// Reports that a message of a peer carried a revision.
+    pub fn heard(&mut self, peer: &Name, revision: Revision) {
+        if revision <= self.revision() {
+            return;
+        }
+        self.announced.retain(|(name, _)| name != peer);
+        self.announced.push((peer.clone(), revision));
+        if self.announced.len() > MAX_ANNOUNCED {
+            self.announced.remove(0);
+        }
+    }
+
+    /// Returns the source to fetch from now, if any.
+    pub fn tick(&mut self, now: Instant) -> Option<SourceId> {
+        if let Some((source, started)) = self.fetching.take() {
+            if now - started < self.settings.timeout {
+                self.fetching = Some((source, started));
+                return None;
+            }
+            self.failed(now, &source);
+        }
+        let source = self.choose(now)?;
+        self.fetching = Some((source.clone(), now));
+        Some(source)
+    }
+
+    /// Takes the result of a fetch, also of one that has timed out.
+    pub fn fetched(&mut self, now: Instant, source: &SourceId, fetched: Fetched) -> Applied {
+        self.fetching.take_if(|(running, _)| running == source);
+        match fetched {
+            Fetched::New(snapshot) => return self.apply(*snapshot),
+            Fetched::Nothing if self.is_ready() => {}
+            Fetched::Nothing | Fetched::Failed => self.failed(now, source),
+        }
+        Applied::Ignored
+    }
+
+    /// Puts a configuration in force unless it is not higher than the present one. Also for the
+    /// process that published it.
+    pub fn apply(&mut self, snapshot: Snapshot) -> Applied {
+        if snapshot.revision() <= self.revision() {
+            return Applied::Ignored;
+        }
+        if let Some(present) = &self.snapshot {
+            self.history.record(present.document(), snapshot.document());
+        }
+        self.announced
+            .retain(|(_, revision)| *revision > snapshot.revision());
+        self.snapshot = Some(Arc::new(snapshot));
+        Applied::InForce
+    }
+
+    /// Reports whether a configuration is in force. Until then the process must not serve.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.snapshot.is_some()
+    }
+
+    /// Returns the revision in force, 0 if there is none.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.snapshot
+            .as_ref()
+            .map_or(Revision(0), |snapshot| snapshot.revision())
+    }
+
+    /// Returns the document in force.
+    #[must_use]
+    pub fn document(&self) -> Option<&Arc<Document>> {
+        self.snapshot.as_ref().map(|snapshot| snapshot.document())
+    }
+
+    /// Returns the configuration in force with its bodies, for a fetch and for peers.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<&Arc<Snapshot>> {
+        self.snapshot.as_ref()
+    }
+
+    /// Returns what has changed since a revision; `None` if no configuration is in force.
+    #[must_use]
+    pub fn changes_since(&self, revision: Revision) -> Option<Changes> {
+        let present = self.document()?;
+        Some(self.history.since(revision, present))
+    }
+
+    fn failed(&mut self, now: Instant, source: &SourceId) {
+        self.not_before = now + self.settings.retry;
+        // The peer has announced a higher revision, which the store must have as well.
+        if matches!(source, SourceId::Peer(_)) {
+            self.next_poll = self.next_poll.min(self.not_before);
+        }
+    }
+
+    fn choose(&mut self, now: Instant) -> Option<SourceId> {
+        if now < self.not_before {
+            return None;
+        }
+        // Each announcement is tried once; if the peer fails, the next one is tried.
+        if let Some((peer, _)) = self.announced.pop() {
+            return Some(SourceId::Peer(peer));
+        }
+        if !self.is_ready() {
+            return Some(self.first_source());
+        }
+        if now < self.next_poll {
+            return None;
+        }
+        let interval = if self.poller {
+            self.settings.poll
+        } else {
+            self.settings.check
+        };
+        self.next_poll = now + interval;
+        Some(SourceId::Store)
+    }
+
+    /// Alternates between the store and the peers, since either may be unreachable at the start.
+    fn first_source(&mut self) -> SourceId {
+        let turn = self.turn;
+        self.turn += 1;
+        if turn.is_multiple_of(2) || self.peers.is_empty() {
+            return SourceId::Store;
+        }
+        SourceId::Peer(self.peers[turn / 2 % self.peers.len()].clone())
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-config/tests/publisher.rs
@@ -0,0 +1,262 @@
+//! Tests of the publisher: who wins, and what a refusal proves.
+
+use std::sync::Mutex;
+
+use bytes::Bytes;
+use ebonylug_config::{Head, Publisher};
+use ebonylug_core::{Incarnation, Revision};
+use ebonylug_platform::{
+    Committed, Fault, MemoryPlatform, ObjectHash, ObjectStore, Row, Table, Transaction,
+};
+use ebonylug_resource::{
+    AvailabilityZoneSpec, Change, Expected, Kind, OrganisationSpec, Resource, ZoneState,
+};
+
+fn zone(name: &str, state: ZoneState) -> Change {
+    Change::put(Resource::new(name, AvailabilityZoneSpec { state }))
+}
+
+fn publisher(store: &MemoryPlatform, process: u64) -> Publisher<MemoryPlatform> {
+    Publisher::new(store.clone(), Incarnation(process))
+}
+
+async fn revision(store: &MemoryPlatform) -> u64 {
+    let row = store.get("config/head").await.unwrap();
+    row.map_or(0, |row| {
+        serde_json::from_str::<Head>(&row.value).unwrap().revision.0
+    })
+}
+
+/// Guards against an answer that does not match the effect: a commit whose reply was lost
+/// counts as accepted, and one that had no effect is not reported as accepted.
+///
+/// The change of an existing document makes these calls: read head, put section, put manifest,
+/// commit, and after a lost reply, commit again and read back.
+#[tokio::test]
+async fn faults_at_each_call() {
+    use Fault::{LostCall, LostReply, None as Ok, Unavailable};
+    let cases: [(&[Fault], Result<(), u16>, u64); 15] = [
+        (&[], Result::Ok(()), 2),
+        (&[Unavailable], Err(503), 1),
+        (&[LostReply], Err(503), 1),
+        (&[Ok, Unavailable], Err(503), 1),
+        (&[Ok, LostReply], Err(503), 1),
+        (&[Ok, Ok, LostCall], Err(503), 1),
+        (&[Ok, Ok, Ok, Unavailable], Err(503), 1),
+        (&[Ok, Ok, Ok, LostReply], Result::Ok(()), 2),
+        (&[Ok, Ok, Ok, LostCall], Result::Ok(()), 2),
+        (&[Ok, Ok, Ok, LostReply, Unavailable], Result::Ok(()), 2),
+        (&[Ok, Ok, Ok, LostReply, Ok, Unavailable], Result::Ok(()), 2),
+        (
+            &[Ok, Ok, Ok, LostReply, LostReply, LostCall],
+            Result::Ok(()),
+            2,
+        ),
+        (
+            &[Ok, Ok, Ok, LostReply, Unavailable, Unavailable, Unavailable],
+            Err(504),
+            2,
+        ),
+        (
+            &[Ok, Ok, Ok, LostCall, Unavailable, Unavailable, Unavailable],
+            Err(504),
+            1,
+        ),
+        (
+            &[Ok, Ok, Ok, LostCall, LostCall, LostCall, LostCall],
+            Err(504),
+            1,
+        ),
+    ];
+    for (faults, expected, after) in cases {
+        let store = MemoryPlatform::new();
+        let publisher = publisher(&store, 1);
+        publisher
+            .publish(&zone("a", ZoneState::Open))
+            .await
+            .unwrap();
+        publisher.read().await.unwrap();
+        store.inject(faults.iter().copied());
+        let result = publisher.publish(&zone("b", ZoneState::Open)).await;
+        let status = result.map(|_| ()).map_err(|problem| problem.status);
+        assert_eq!(status, expected, "{faults:?}");
+        assert_eq!(revision(&store).await, after, "{faults:?}");
+    }
+}
+
+/// Guards against half-applied changes while the store is down.
+#[tokio::test]
+async fn an_outage_refuses_everything() {
+    let store = MemoryPlatform::new();
+    let publisher = publisher(&store, 1);
+    store.set_down(true);
+    let change = zone("a", ZoneState::Open);
+    assert_eq!(publisher.publish(&change).await.unwrap_err().status, 503);
+    assert_eq!(publisher.dry_run(&change).await.unwrap_err().status, 503);
+    assert_eq!(publisher.read().await.unwrap_err().status, 503);
+    store.set_down(false);
+    assert_eq!(publisher.read().await.unwrap(), None);
+}
+
+/// Guards against a dry run that has effects, or that accepts what a real run refuses.
+#[tokio::test]
+async fn a_dry_run_writes_nothing() {
+    let store = MemoryPlatform::new();
+    let publisher = publisher(&store, 1);
+    let document = publisher
+        .dry_run(&zone("a", ZoneState::Open))
+        .await
+        .unwrap();
+    assert_eq!(document.revision(), Revision(1));
+    assert_eq!(store.traffic().writes, 0);
+    let organisation = OrganisationSpec {
+        weight: 0,
+        tokens: vec![],
+        tiers: Default::default(),
+    };
+    let change = Change::put(Resource::new("o", organisation));
+    assert_eq!(publisher.dry_run(&change).await.unwrap_err().status, 422);
+}
+
+/// Guards against lost updates: two operators who read the same revision cannot both win.
+#[tokio::test]
+async fn the_second_operator_gets_a_conflict() {
+    let store = MemoryPlatform::new();
+    let (first, second) = (publisher(&store, 1), publisher(&store, 2));
+    first.publish(&zone("a", ZoneState::Open)).await.unwrap();
+    let expected = Expected::Revision(Revision(1));
+    let drain = zone("a", ZoneState::Drained).expecting(expected);
+    first.publish(&drain).await.unwrap();
+    let problem = second.publish(&drain).await.unwrap_err();
+    assert_eq!(problem.status, 409, "{problem}");
+    let delete = Change::delete(Kind::AvailabilityZone, "a").expecting(expected);
+    assert_eq!(second.publish(&delete).await.unwrap_err().status, 409);
+}
+
+/// Guards against rows that accumulate in the table.
+#[tokio::test]
+async fn history_rows_are_bounded() {
+    let store = MemoryPlatform::new();
+    let publisher = publisher(&store, 1);
+    for number in 0..80 {
+        let state = if number % 2 == 0 {
+            ZoneState::Open
+        } else {
+            ZoneState::Drained
+        };
+        publisher.publish(&zone("a", state)).await.unwrap();
+    }
+    assert_eq!(
+        store.scan("config/history/", 1_000).await.unwrap().len(),
+        64
+    );
+    assert_eq!(revision(&store).await, 80);
+}
+
+/// Guards against transfers of the whole document: only the changed section and the manifest
+/// are stored.
+#[tokio::test]
+async fn only_changed_sections_are_stored() {
+    let store = MemoryPlatform::new();
+    let publisher = publisher(&store, 1);
+    let organisation = |index: usize, weight| {
+        let spec = OrganisationSpec {
+            weight,
+            tokens: vec![],
+            tiers: Default::default(),
+        };
+        Change::put(Resource::new(&format!("o{index}"), spec))
+    };
+    let all = (0..100).fold(Change::default(), |all, index| {
+        all.and(organisation(index, 1))
+    });
+    publisher.publish(&all).await.unwrap();
+    publisher.read().await.unwrap();
+    let before = store.traffic();
+    publisher.publish(&organisation(7, 2)).await.unwrap();
+    assert_eq!(
+        store.traffic().writes - before.writes,
+        3,
+        "section, manifest, commit"
+    );
+    assert_eq!(store.traffic().reads - before.reads, 1, "head");
+}
+
+/// Commits a change of another publisher just before each of the first commits.
+struct Interrupted {
+    inner: MemoryPlatform,
+    other: Publisher<MemoryPlatform>,
+    changes: Mutex<Vec<Change>>,
+}
+
+impl Table for Interrupted {
+    async fn transact(&self, transaction: Transaction) -> ebonylug_platform::Result<Committed> {
+        let change = self.changes.lock().unwrap().pop();
+        if let Some(change) = change {
+            self.other.publish(&change).await.unwrap();
+        }
+        self.inner.transact(transaction).await
+    }
+
+    async fn get(&self, key: &str) -> ebonylug_platform::Result<Option<Row>> {
+        self.inner.get(key).await
+    }
+
+    async fn scan(&self, prefix: &str, limit: usize) -> ebonylug_platform::Result<Vec<Row>> {
+        self.inner.scan(prefix, limit).await
+    }
+}
+
+impl ObjectStore for Interrupted {
+    async fn put(&self, body: Bytes) -> ebonylug_platform::Result<ObjectHash> {
+        self.inner.put(body).await
+    }
+
+    async fn fetch(&self, hash: ObjectHash) -> ebonylug_platform::Result<Bytes> {
+        self.inner.fetch(hash).await
+    }
+}
+
+/// Guards against a race that overwrites the winner's change of the same resource, and against
+/// refusals of changes that have nothing to do with the winner's.
+#[tokio::test]
+async fn a_lost_race_is_retried_unless_resources_collide() {
+    let drain = |name| zone(name, ZoneState::Drained);
+    let delete = |name| Change::delete(Kind::AvailabilityZone, name);
+    let many = |count| {
+        vec![drain("b"), delete("b")]
+            .into_iter()
+            .cycle()
+            .take(count)
+            .collect()
+    };
+    let cases = [
+        (vec![drain("b")], Ok(3)),
+        (vec![delete("b"), drain("b")], Ok(4)),
+        (vec![drain("a")], Err(409)),
+        (vec![delete("a")], Err(409)),
+        (vec![drain("b").and(drain("a"))], Err(409)),
+        (many(15), Ok(17)),
+        (many(16), Err(503)),
+    ];
+    for (index, (changes, expected)) in cases.into_iter().enumerate() {
+        let inner = MemoryPlatform::new();
+        let other = publisher(&inner, 1);
+        let both = zone("a", ZoneState::Open).and(zone("b", ZoneState::Open));
+        other.publish(&both).await.unwrap();
+        let changes = Mutex::new(changes);
+        let store = Interrupted {
+            inner,
+            other,
+            changes,
+        };
+        let publisher = Publisher::new(store, Incarnation(2));
+        let result = publisher.publish(&drain("a")).await;
+        let result = result.map(|snapshot| snapshot.revision().0);
+        assert_eq!(
+            result.map_err(|problem| problem.status),
+            expected,
+            "case {index}"
+        );
+    }
+}
--- a/crates/ebonylug-resource/src/lib.rs
+++ b/crates/ebonylug-resource/src/lib.rs
@@ -50,6 +50,7 @@
 
 mod any;
 mod change;
+mod difference;
 mod document;
 mod kind;
 mod parse;
@@ -64,6 +65,7 @@
 
 pub use any::AnyResource;
 pub use change::{Change, Edit, Expected};
+pub use difference::Difference;
 pub use document::{Collection, Document};
 pub use kind::{Kind, Spec};
 pub use parse::parse_resources;
--- a/crates/ebonylug-resource/tests/document.rs
+++ b/crates/ebonylug-resource/tests/document.rs
@@ -219,3 +219,28 @@
     let tier = base().get::<TierSpec>("urgent").unwrap().spec.tier();
     assert!(tier.is_interactive());
 }
+
+/// Guards against watches that miss an added, changed or removed resource.
+#[test]
+fn differences_list_every_change() {
+    let drained = edited(
+        Kind::AvailabilityZone,
+        "canas-b",
+        "/spec/state",
+        &json!("drained"),
+    );
+    let added = edited(Kind::Tier, "urgent", "/metadata/name", &json!("added"));
+    let change = Change::put_all([added, drained]).and(Change::delete(Kind::Move, "to-v2"));
+    let next = base().apply(&change).unwrap();
+    let found = next.differences(&base());
+    let found = found
+        .iter()
+        .map(|d| (d.kind, d.name.as_str(), d.resource.is_some()));
+    let expected = [
+        (Kind::Tier, "added", true),
+        (Kind::AvailabilityZone, "canas-b", true),
+        (Kind::Move, "to-v2", false),
+    ];
+    assert!(found.eq(expected));
+    assert_eq!(next.differences(&next), []);
+}
--- a/crates/ebonylug-resource/tests/text.rs
+++ b/crates/ebonylug-resource/tests/text.rs
@@ -5,8 +5,8 @@
 
 use ebonylug_core::Name;
 use ebonylug_resource::{
-    AnyResource, Change, Document, Manifest, OrganisationSpec, Problem, Resource, Share, Span,
-    Timestamp, TokenHash, parse_resources,
+    AnyResource, Change, Document, Kind, Manifest, OrganisationSpec, Problem, Resource, Share,
+    Span, Timestamp, TokenHash, parse_resources,
 };
 use proptest::prelude::*;
 use serde_json::json;
@@ -171,6 +171,10 @@
     doubled.sections.push(doubled.sections[0]);
     let twice = Document::assemble(&doubled, |hash| bodies.get(hash).cloned()).unwrap_err();
     assert!(twice.detail.contains("occurs twice"), "{twice}");
+    let mut foreign = manifest.clone();
+    foreign.sections[0].kind = Kind::Tier;
+    let wrong = Document::assemble(&foreign, |hash| bodies.get(hash).cloned()).unwrap_err();
+    assert!(wrong.detail.contains("where Tier is expected"), "{wrong}");
     let mut older = manifest;
     older.revision = ebonylug_core::Revision(0);
     let newer = Document::assemble(&older, |hash| bodies.get(hash).cloned()).unwrap_err();
@@ -229,7 +233,7 @@
             let name = format!("o{index}");
             let known = naive.contains_key(&Name::new(&name));
             let change = if delete {
-                Change::delete(ebonylug_resource::Kind::Organisation, &name)
+                Change::delete(Kind::Organisation, &name)
             } else {
                 let spec = json!({ "weight": weight });
                 Change::put(Resource::new(&name, serde_json::from_value::<OrganisationSpec>(spec).unwrap()))
