routing: test the ledger, the choice of targets and the queue

Cause: the guards of the router need tests that name the failure they prevent. Change: data-driven tests in three files, and an example that prints the cost of a decision.

--- /dev/null
+++ b/crates/ebonylug-routing/examples/decision_cost.rs
@@ -0,0 +1,192 @@
+//! Prints what a routing decision costs at several numbers of targets.
+//!
+//! A decision is one `enqueue` and the `poll` that sends the request. It is measured at about
+//! 0.8 of the targets' limit, and once more with a deep queue in front of full targets, where
+//! the decision follows the outcome that makes room. The clock of the router is virtual; only
+//! the cost is measured with the clock of the machine.
+//!
+//! Run with `cargo run --release -p ebonylug-routing --example decision_cost`.
+
+use std::collections::VecDeque;
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use ebonylug_core::{
+    AttemptId, Fingerprint, Gate, Incarnation, LoadReport, Name, Outcome, Repeat, RequestId,
+    Revision, Tier, Tokens,
+};
+use ebonylug_routing::{
+    Action, OrganisationKey, Request, RouteKey, Router, Settings, TargetInfo, TargetKind,
+};
+
+const DECISIONS: usize = 100_000;
+/// Each target holds this many requests at its limit.
+const SLOTS: usize = 50;
+/// Prompt and output of each request.
+const COST: u64 = 1_000;
+const ORGANISATIONS: usize = 100;
+const DEEP: usize = 4_000;
+
+struct Load {
+    router: Router,
+    route: RouteKey,
+    organisations: Vec<OrganisationKey>,
+    now: Instant,
+    next: u64,
+    sent: VecDeque<AttemptId>,
+}
+
+fn main() {
+    println!("targets  decision at 0.8 (mean, p99)  decision behind a deep queue (mean, p99)");
+    for targets in [40, 100, 300, 600] {
+        let (mean, tail) = Load::new(targets).at_part_load(targets);
+        let (deep_mean, deep_tail) = Load::new(targets).behind_deep_queue(targets);
+        println!(
+            "{targets:7}  {mean:8.2} us {tail:8.2} us        {deep_mean:8.2} us {deep_tail:8.2} us"
+        );
+    }
+}
+
+impl Load {
+    fn new(targets: usize) -> Self {
+        let mut router = Router::new(Settings::default(), 1);
+        let now = Instant::now();
+        let route = router.route_key(&Name::new("chat"));
+        let old = router.version_key(&Name::new("v1"));
+        let new = router.version_key(&Name::new("v2"));
+        for index in 0..targets {
+            let info = TargetInfo {
+                name: Name::new(&format!("engine-{index}")),
+                zone: router.zone_key(&Name::new(&format!("zone-{}", index % 8))),
+                version: if index % 4 == 0 { new } else { old },
+                routes: [route].into_iter().collect(),
+                kind: TargetKind::Model,
+            };
+            let key = router.add_target(info);
+            router.report(now, key, &idle_report(index));
+        }
+        router.set_shares(route, &[(old, 0.75), (new, 0.25)]);
+        let name = |index| Name::new(&format!("organisation-{index}"));
+        let organisations = (0..ORGANISATIONS).map(|i| router.organisation_key(&name(i)));
+        Load {
+            organisations: organisations.collect(),
+            router,
+            route,
+            now,
+            next: 0,
+            sent: VecDeque::new(),
+        }
+    }
+
+    /// Returns the mean and the 99th percentile in microseconds.
+    fn at_part_load(mut self, targets: usize) -> (f64, f64) {
+        let mut costs = Vec::with_capacity(DECISIONS);
+        let running = targets * SLOTS * 4 / 5;
+        for _ in 0..running + DECISIONS {
+            self.now += Duration::from_micros(200);
+            if self.sent.len() >= running {
+                self.answer();
+            }
+            let request = self.request();
+            let start = Instant::now();
+            self.enqueue(request);
+            let actions = black_box(self.router.poll(self.now));
+            costs.push(start.elapsed());
+            self.note(&actions);
+        }
+        summary(costs.split_off(running))
+    }
+
+    fn behind_deep_queue(mut self, targets: usize) -> (f64, f64) {
+        let mut costs = Vec::with_capacity(DECISIONS);
+        for index in 0..targets * SLOTS + DEEP {
+            let mut request = self.request();
+            if index < targets * SLOTS {
+                request.tier = Tier::interactive(0);
+            }
+            self.enqueue(request);
+            let actions = self.router.poll(self.now);
+            self.note(&actions);
+        }
+        for _ in 0..DECISIONS {
+            self.now += Duration::from_micros(200);
+            self.answer();
+            let request = self.request();
+            let start = Instant::now();
+            self.enqueue(request);
+            let actions = black_box(self.router.poll(self.now));
+            costs.push(start.elapsed());
+            self.note(&actions);
+        }
+        summary(costs)
+    }
+
+    fn enqueue(&mut self, request: Request) {
+        // A full queue refuses, which is part of what is measured.
+        let _ = black_box(self.router.enqueue(self.now, request));
+    }
+
+    fn answer(&mut self) {
+        if let Some(attempt) = self.sent.pop_front() {
+            self.router.outcome(self.now, attempt, Outcome::Answered);
+        }
+    }
+
+    fn note(&mut self, actions: &[Action]) {
+        for action in actions {
+            if let Action::Dispatch(dispatch) = action {
+                self.sent.push_back(dispatch.offer.attempt);
+            }
+        }
+    }
+
+    fn request(&mut self) -> Request {
+        self.next += 1;
+        // Half of the requests are batch work; the prefix has 8 blocks, shared by organisation.
+        let organisation = self.next as usize * 7 % ORGANISATIONS;
+        let batch = self.next.is_multiple_of(2);
+        let block =
+            |index: u64| (organisation as u64 * 64 + index).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        Request {
+            id: RequestId(u128::from(self.next) << 64 | u128::from(self.next)),
+            route: self.route,
+            organisation: self.organisations[organisation],
+            tier: if batch {
+                Tier::batch(2)
+            } else {
+                Tier::interactive(0)
+            },
+            prompt: Tokens(COST - 256),
+            max_output: Tokens(256),
+            prefix: (0..8).map(block).collect(),
+            fingerprint: Fingerprint(self.next),
+            deadline: Some(self.now + Duration::from_secs(if batch { 36_000 } else { 600 })),
+            repeat: Repeat::Yes,
+            offset: 0,
+        }
+    }
+}
+
+fn idle_report(index: usize) -> LoadReport {
+    LoadReport {
+        incarnation: Incarnation(1),
+        sequence: 1,
+        revision: Revision(1),
+        gate: Gate::Open,
+        up: true,
+        cold: false,
+        limit: Tokens(COST * SLOTS as u64),
+        used: Tokens::ZERO,
+        batch: Tokens::ZERO,
+        rate: 500.0 + (index % 3) as f64 * 500.0,
+        reserved: Tokens::ZERO,
+    }
+}
+
+fn summary(mut costs: Vec<Duration>) -> (f64, f64) {
+    let total: Duration = costs.iter().sum();
+    costs.sort_unstable();
+    let micros = |duration: Duration| duration.as_secs_f64() * 1e6;
+    let mean = micros(total) / costs.len() as f64;
+    (mean, micros(costs[costs.len() * 99 / 100]))
+}
--- /dev/null
+++ b/crates/ebonylug-routing/tests/common/mod.rs
@@ -0,0 +1,199 @@
+//! A router with targets, and requests, reports and expectations in short form.
+
+#![allow(dead_code)]
+
+use std::time::{Duration, Instant};
+
+use ebonylug_core::{
+    AttemptId, Fingerprint, Gate, Incarnation, LoadReport, Name, Outcome, Reason, Refusal, Repeat,
+    RequestId, Revision, Tier, Tokens,
+};
+use ebonylug_routing::{
+    Action, Dispatch, Disposition, Request, RequestKey, RouteKey, Router, Settings, TargetInfo,
+    TargetKey, TargetKind, VersionKey, ZoneKey,
+};
+
+pub const URGENT: Tier = Tier::interactive(0);
+pub const CHAT: Tier = Tier::interactive(1);
+pub const NIGHTLY: Tier = Tier::batch(2);
+pub const WEEKLY: Tier = Tier::batch(3);
+
+pub struct Fixture {
+    pub router: Router,
+    pub route: RouteKey,
+    pub versions: [VersionKey; 2],
+    pub zones: [ZoneKey; 2],
+    pub targets: Vec<TargetKey>,
+    pub reports: Vec<LoadReport>,
+    pub start: Instant,
+    pub now: Instant,
+    next: u128,
+}
+
+pub fn report(limit: u64) -> LoadReport {
+    LoadReport {
+        incarnation: Incarnation(1),
+        sequence: 1,
+        revision: Revision(1),
+        gate: Gate::Open,
+        up: true,
+        cold: false,
+        limit: Tokens(limit),
+        used: Tokens::ZERO,
+        batch: Tokens::ZERO,
+        rate: 1_000.0,
+        reserved: Tokens::ZERO,
+    }
+}
+
+pub fn refusal(reason: Reason) -> Outcome {
+    Outcome::Refused(Refusal::new(reason), None)
+}
+
+impl Fixture {
+    /// Creates one target for each limit; all run the first version, in alternate zones.
+    pub fn new(settings: Settings, seed: u64, limits: &[u64]) -> Self {
+        settings.check().expect("settings are valid");
+        let mut router = Router::new(settings, seed);
+        let start = Instant::now() + Duration::from_secs(3_600);
+        let mut fixture = Fixture {
+            route: router.route_key(&Name::new("chat")),
+            versions: ["v1", "v2"].map(|name| router.version_key(&Name::new(name))),
+            zones: ["a", "b"].map(|name| router.zone_key(&Name::new(name))),
+            targets: Vec::new(),
+            reports: Vec::new(),
+            router,
+            start,
+            now: start,
+            next: 0,
+        };
+        for &limit in limits {
+            fixture.add(0, limit);
+        }
+        fixture
+            .router
+            .set_shares(fixture.route, &[(fixture.versions[0], 1.0)]);
+        fixture
+    }
+
+    /// Adds an idle target with a version, and returns its index.
+    pub fn add(&mut self, version: usize, limit: u64) -> usize {
+        let index = self.targets.len();
+        let info = TargetInfo {
+            name: Name::new(&format!("engine-{index}")),
+            zone: self.zones[index % 2],
+            version: self.versions[version],
+            routes: [self.route].into_iter().collect(),
+            kind: TargetKind::Model,
+        };
+        self.targets.push(self.router.add_target(info));
+        self.reports.push(report(limit));
+        self.router
+            .report(self.now, self.targets[index], &self.reports[index]);
+        index
+    }
+
+    pub fn advance(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+    }
+
+    /// Changes the report of a target and tells the router.
+    pub fn report(&mut self, target: usize, change: impl FnOnce(&mut LoadReport)) {
+        let report = &mut self.reports[target];
+        report.sequence += 1;
+        change(report);
+        self.router.report(self.now, self.targets[target], report);
+    }
+
+    /// Builds a request whose cost is `cost` tokens.
+    pub fn request(&mut self, tier: Tier, cost: u64) -> Request {
+        self.next += 1;
+        Request {
+            id: RequestId(self.next),
+            route: self.route,
+            organisation: self.router.organisation_key(&Name::new("ropeworks")),
+            tier,
+            prompt: Tokens(cost - 1),
+            max_output: Tokens(1),
+            prefix: Default::default(),
+            fingerprint: Fingerprint(self.next as u64),
+            deadline: None,
+            repeat: Repeat::Yes,
+            offset: 0,
+        }
+    }
+
+    pub fn enqueue(&mut self, request: Request) -> Result<RequestKey, Refusal> {
+        self.router.enqueue(self.now, request)
+    }
+
+    /// Enqueues a request of a tier and cost that must be accepted.
+    pub fn put(&mut self, tier: Tier, cost: u64) -> RequestKey {
+        let request = self.request(tier, cost);
+        self.enqueue(request).expect("the queue has room")
+    }
+
+    /// Enqueues a request of an organisation that must be accepted.
+    pub fn put_for(
+        &mut self,
+        organisation: &str,
+        tier: Tier,
+        cost: u64,
+        deadline: Option<Duration>,
+    ) -> RequestKey {
+        let mut request = self.request(tier, cost);
+        request.organisation = self.router.organisation_key(&Name::new(organisation));
+        request.deadline = deadline.map(|after| self.now + after);
+        self.enqueue(request).expect("the queue has room")
+    }
+
+    /// Polls and returns the dispatches; anything else is a failure.
+    pub fn dispatches(&mut self) -> Vec<Dispatch> {
+        let only_dispatch = |action| match action {
+            Action::Dispatch(dispatch) => dispatch,
+            other => panic!("expected dispatches only, got {other:?}"),
+        };
+        self.router
+            .poll(self.now)
+            .into_iter()
+            .map(only_dispatch)
+            .collect()
+    }
+
+    /// Polls and returns the reasons of the requests that were shed.
+    pub fn shed(&mut self) -> Vec<(RequestKey, Reason)> {
+        let shed = |action| match action {
+            Action::Shed {
+                request, refusal, ..
+            } => Some((request, refusal.reason)),
+            _ => None,
+        };
+        self.router
+            .poll(self.now)
+            .into_iter()
+            .filter_map(shed)
+            .collect()
+    }
+
+    /// Polls; exactly one dispatch must follow.
+    pub fn dispatch(&mut self) -> Dispatch {
+        let mut dispatches = self.dispatches();
+        assert_eq!(
+            dispatches.len(),
+            1,
+            "one dispatch was expected: {dispatches:?}"
+        );
+        dispatches.remove(0)
+    }
+
+    pub fn outcome(&mut self, attempt: AttemptId, outcome: Outcome) -> Disposition {
+        self.router.outcome(self.now, attempt, outcome)
+    }
+
+    pub fn index(&self, target: TargetKey) -> usize {
+        self.targets
+            .iter()
+            .position(|&key| key == target)
+            .expect("target is known")
+    }
+}
