--- /dev/null
+++ b/crates/ebonylug-events/tests/timeline.rs
@@ -0,0 +1,196 @@
+//! The order and the selection of events.
+
+mod common;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use common::{at, ring, scenario};
+use ebonylug_core::{AttemptId, RequestId};
+use ebonylug_events::{Event, EventKind, EventRing, Filter, Mark, Subject, Timeline};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const PROCESSES: usize = 4;
+
+/// Runs random local events and messages between processes whose wall clocks differ.
+/// A step is (process, receiver, whether the process first takes a message that waits for it).
+fn history(steps: &[(usize, usize, bool)], skews: [u64; PROCESSES]) -> Vec<Vec<Event>> {
+    let mut rings: Vec<EventRing> = (0..PROCESSES)
+        .map(|n| ring(&format!("p{n}"), "pnw-west-a", usize::MAX))
+        .collect();
+    let mut mail: Vec<Vec<Mark>> = vec![Vec::new(); PROCESSES];
+    for (time, &(process, receiver, take)) in steps.iter().enumerate() {
+        let cause = if take { mail[process].pop() } else { None };
+        let now = at(time as u64) + Duration::from_millis(skews[process]);
+        let subject = Subject::new();
+        let mark = rings[process].push(now, EventKind::Dispatched, subject, cause);
+        if receiver != process {
+            mail[receiver].push(mark);
+        }
+    }
+    rings
+        .iter()
+        .map(|ring| ring.since(0, usize::MAX).events)
+        .collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(20),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against effects that are shown before their causes, an order that depends on the
+    /// order of the lists, and events that are lost or doubled by merging.
+    #[test]
+    fn causes_come_before_effects(
+        steps in prop::collection::vec((0..PROCESSES, 0..PROCESSES, any::<bool>()), 0..80),
+        skews in [0..10_000_u64, 0..10_000, 0..10_000, 0..10_000],
+        turn in 0..PROCESSES,
+    ) {
+        let lists = history(&steps, skews);
+        let timeline = Timeline::merge(lists.clone());
+        let events = timeline.events();
+        prop_assert_eq!(events.len(), steps.len());
+        let places: HashMap<Mark, usize> =
+            events.iter().enumerate().map(|(place, event)| (event.mark(), place)).collect();
+        prop_assert_eq!(places.len(), steps.len());
+        for (place, event) in events.iter().enumerate() {
+            if let Some(cause) = &event.cause {
+                prop_assert!(places[cause] < place, "{event:?} before its cause");
+            }
+            let earlier = events[..place].iter().filter(|e| e.origin == event.origin);
+            prop_assert_eq!(earlier.count() as u64 + 1, event.sequence);
+        }
+        let mut twice = [lists.clone(), lists].concat();
+        twice.rotate_left(turn);
+        prop_assert_eq!(Timeline::merge(twice), timeline);
+    }
+}
+
+/// Guards against readers that miss events without a mark, or read some twice.
+#[test]
+fn ring_pages() {
+    let mut ring = ring("entry-1", "liberia-a", 4);
+    assert_eq!(ring.since(0, 9).next, 0);
+    for n in 0..7 {
+        ring.push(at(n), EventKind::RequestQueued, Subject::new(), None);
+    }
+    // (since, limit) -> (lost, sequences, next); 4 to 7 are left.
+    let cases: [(u64, usize, u64, &[u64], u64); 7] = [
+        (0, 9, 3, &[4, 5, 6, 7], 7),
+        (1, 2, 2, &[4, 5], 5),
+        (3, 9, 0, &[4, 5, 6, 7], 7),
+        (5, 1, 0, &[6], 6),
+        (7, 9, 0, &[], 7),
+        (0, 0, 3, &[], 3),
+        (99, 9, 0, &[], 7),
+    ];
+    for (since, limit, lost, sequences, next) in cases {
+        let page = ring.since(since, limit);
+        let read: Vec<u64> = page.events.iter().map(|event| event.sequence).collect();
+        assert_eq!(
+            (page.lost, &*read, page.next),
+            (lost, sequences, next),
+            "since {since}"
+        );
+    }
+}
+
+/// Guards against filters that leave out events of a request's attempts, or show others.
+#[test]
+fn filters() {
+    let timeline = Timeline::merge(scenario());
+    let none = Filter::default();
+    let cases = [
+        (none.clone(), 10),
+        (
+            Filter {
+                request: Some(RequestId(0xabc)),
+                ..none.clone()
+            },
+            7,
+        ),
+        (
+            Filter {
+                request: Some(RequestId(1)),
+                ..none.clone()
+            },
+            0,
+        ),
+        (
+            Filter {
+                version_move: Some("quote-v2".into()),
+                ..none.clone()
+            },
+            2,
+        ),
+        (
+            Filter {
+                target: Some("engine-2".into()),
+                ..none.clone()
+            },
+            5,
+        ),
+        (
+            Filter {
+                zone: Some("liberia-a".into()),
+                ..none.clone()
+            },
+            5,
+        ),
+        (
+            Filter {
+                zone: Some("canas-b".into()),
+                target: Some("engine-2".into()),
+                ..none
+            },
+            3,
+        ),
+    ];
+    for (filter, count) in cases {
+        let found = timeline.filter(&filter);
+        assert_eq!(
+            found.events().len(),
+            count,
+            "{filter:?}\n{}",
+            found.to_text()
+        );
+    }
+    let attempt = AttemptId {
+        request: RequestId(2),
+        number: 0,
+    };
+    let subject = Subject {
+        attempt: Some(attempt),
+        ..Subject::new()
+    };
+    let mut ring = ring("entry-1", "liberia-a", 4);
+    ring.push(at(0), EventKind::Dispatched, subject, None);
+    let by_request = Filter {
+        request: Some(RequestId(2)),
+        ..Filter::default()
+    };
+    assert!(by_request.selects(&ring.since(0, 1).events[0]));
+}
+
+/// Guards against lost events that do not show, and against selected ones that count as lost.
+#[test]
+fn gaps() {
+    let timeline = Timeline::merge(scenario());
+    let missing = |timeline: &Timeline| {
+        let events = timeline.events().iter();
+        events
+            .map(|event| timeline.missing_before(event))
+            .sum::<u64>()
+    };
+    assert_eq!(missing(&timeline), 2);
+    let crash = Filter {
+        target: Some("engine-1".into()),
+        ..Filter::default()
+    };
+    assert_eq!(missing(&timeline.filter(&crash)), 0);
+}
