--- a/crates/ebonylug-events/src/ring.rs
+++ b/crates/ebonylug-events/src/ring.rs
@@ -7,6 +7,9 @@
 
 /// The last events of a process. Old events are overwritten.
 ///
+/// A restarted process starts a new ring. It should observe a stamp of a peer before its first
+/// event; otherwise its first events are ordered among the earliest of the whole time line.
+///
 /// ```
 /// use std::time::SystemTime;
 /// use ebonylug_core::Incarnation;
--- a/crates/ebonylug-standin/src/engine/settings.rs
+++ b/crates/ebonylug-standin/src/engine/settings.rs
@@ -39,8 +39,10 @@
     pub cache_lag: u64,
     /// The part of the cache events that is lost, from 0 to 1.
     pub cache_gaps: f64,
-    /// How long a cold start lasts, in milliseconds. The first start is cold, too.
+    /// How long a cold start lasts, in milliseconds.
     pub cold: u64,
+    /// Whether the engine is warm when the fake starts. After a crash it is always cold.
+    pub warm_start: bool,
     /// Streams that the engine bears in cold start. One more crashes it.
     pub cold_streams: u32,
     /// How long the engine is down after a crash, in milliseconds.
@@ -74,6 +76,7 @@
             cache_lag: 1000,
             cache_gaps: 0.0,
             cold: 0,
+            warm_start: false,
             cold_streams: 2,
             down: 1000,
             load_time: 0,
@@ -85,6 +88,21 @@
 }
 
 impl EngineSettings {
+    /// Returns the time between two output tokens of a stream when `running` streams run.
+    #[must_use]
+    pub fn token_time(&self, running: u32) -> Duration {
+        let others = f64::from(running.saturating_sub(1));
+        let seconds = (1.0 + self.batch_penalty * others) / self.decode_rate;
+        Duration::from_secs_f64(seconds * self.scale)
+    }
+
+    /// Returns the time to compute `tokens` of a prompt when `sharing` streams are in prefill.
+    #[must_use]
+    pub fn prefill_time(&self, tokens: u64, sharing: u32) -> Duration {
+        let seconds = tokens as f64 * f64::from(sharing) / self.prefill_rate;
+        Duration::from_secs_f64(seconds * self.scale)
+    }
+
     pub(super) fn check(&self) -> Result<()> {
         check("scale", self.scale >= 0.0, "must not be negative")?;
         check("prefill_rate", self.prefill_rate > 0.0, "must be above 0")?;
--- a/crates/ebonylug-standin/src/server.rs
+++ b/crates/ebonylug-standin/src/server.rs
@@ -14,7 +14,7 @@
 use xitca_web::http::{RequestExt, WebRequest, WebResponse};
 use xitca_web::service::fn_service;
 
-use crate::net::{Conn, Net, Switch};
+use crate::net::{Conn, Net, SwitchedListener};
 use crate::{Error, Result};
 
 /// Longer requests are refused.
@@ -88,7 +88,7 @@
             .worker_threads(1)
             .disable_signal()
             .keep_alive_timeout(KEEP_ALIVE)
-            .listen(Switch(net.clone()))
+            .listen(SwitchedListener(net.clone()))
             .map_err(listen)?
             .run();
         let handle = server.handle().map_err(listen)?;
--- a/crates/ebonylug-standin/tests/engine.rs
+++ b/crates/ebonylug-standin/tests/engine.rs
@@ -202,6 +202,85 @@
     );
 }
 
+/// Guards against speeds that do not depend on the load, by which the product tells engines
+/// apart.
+#[test]
+fn times() {
+    let settings = EngineSettings {
+        scale: 0.5,
+        decode_rate: 50.0,
+        batch_penalty: 0.1,
+        prefill_rate: 1000.0,
+        ..EngineSettings::default()
+    };
+    let ms = |time: std::time::Duration| time.as_micros() as f64 / 1000.0;
+    for (running, time) in [(0, 10.0), (1, 10.0), (2, 11.0), (11, 20.0)] {
+        assert_eq!(ms(settings.token_time(running)), time, "{running} streams");
+    }
+    for (tokens, sharing, time) in [(0, 1, 0.0), (100, 1, 50.0), (100, 3, 150.0)] {
+        assert_eq!(ms(settings.prefill_time(tokens, sharing)), time);
+    }
+}
+
+/// Guards against more streams in the engine than it has slots, and a load report without lag.
+#[tokio::test]
+async fn slots_and_lag() {
+    let (engine, client) = start(EngineSettings {
+        slots: 2,
+        load_lag: 3_600_000,
+        ..endless()
+    });
+    let body = serde_json::to_vec(&ChatRequest::user("draft", 1_000_000).streamed()).unwrap();
+    let mut streams = Vec::new();
+    for _ in 0..3 {
+        streams.push(client.open(Method::POST, CHAT, &[], body.clone()).await);
+    }
+    let load = || (engine.report().running, engine.report().waiting);
+    eventually("two run, one waits", async || load() == (2, 1)).await;
+    assert_eq!(client.get("/load").await["running"], 0);
+    streams.remove(0);
+    eventually("the third runs", async || load() == (2, 0)).await;
+    assert_eq!(engine.runs().cancelled, 1);
+}
+
+/// Guards against an engine that bears load although it has become cold without a crash, and
+/// against a silent cold start that shows in the epoch.
+#[tokio::test]
+async fn silent_cold_start() {
+    let (engine, client) = start(EngineSettings {
+        cold: 3_600_000,
+        cold_streams: 0,
+        warm_start: true,
+        decode_rate: 1e6,
+        prefill_rate: 1e9,
+        ..EngineSettings::default()
+    });
+    let request = ChatRequest::user("hello", 1);
+    assert!(client.post(CHAT, &request).await.is_some());
+    let cool = EngineFaults {
+        cool: true,
+        ..EngineFaults::default()
+    };
+    client.post("/admin/faults", &cool).await.unwrap();
+    assert_eq!((engine.report().epoch, engine.runs().crashes), (1, 0));
+    assert!(client.post(CHAT, &request).await.is_none());
+    assert_eq!((engine.runs().crashes, engine.runs().cold_peak), (1, 1));
+}
+
+/// Guards against fakes that get in each other's way in one process.
+#[tokio::test]
+async fn many_engines() {
+    let engines: Vec<_> = (0..40).map(|_| start(fast())).collect();
+    let request = ChatRequest::user("hello", 3);
+    for (engine, client) in &engines {
+        assert_eq!(
+            client.post(CHAT, &request).await.unwrap().content(),
+            request.answer(0)
+        );
+        assert_eq!(engine.runs().total, 1);
+    }
+}
+
 /// Guards against a down engine that takes connections, and a port that is lost while down.
 #[tokio::test]
 async fn down_engine_refuses_connections() {
@@ -330,8 +409,11 @@
     engine.set_faults(EngineFaults::default()).unwrap();
     // What was under way may still arrive; then nothing does.
     let pause = std::time::Duration::from_millis(300);
+    let mut late = 0;
     while let Ok(frame) = tokio::time::timeout(pause, stream.frame()).await {
         frame.expect("the stream ends").expect("the stream breaks");
+        late += 1;
+        assert!(late < 10, "the stream is not silent");
     }
     Client::new(engine.addr).get("/health").await;
 
