--- a/crates/ebonylug-demo/src/lib.rs
+++ b/crates/ebonylug-demo/src/lib.rs
@@ -1,1 +1,15 @@
-//! Both users' deployments in small, on loopback in one process.
+//! Both sample deployments in small, on loopback in one process.
+//!
+//! [`Deployment`] starts the platform's stand-in, fakes of the targets, and the real sidecars and
+//! entries, which talk over real sockets. The demo and the tests of failures are built on it.
+
+mod client;
+mod deployment;
+
+pub use client::{Answer, Caller};
+pub use deployment::{Deployment, Error, Fake, Node, OPERATOR_TOKEN, Plan, Result};
+
+/// The sample configuration of the fibras division.
+pub const FIBRAS: &str = include_str!("../../../examples/fibras/resources.json5");
+/// The sample configuration of Scaleward Kettle Care.
+pub const SCALEWARD: &str = include_str!("../../../examples/scaleward/resources.json5");
--- /dev/null
+++ b/crates/ebonylug-entry/src/attempt.rs
@@ -0,0 +1,271 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+use ebonylug_core::{Clock, End, Offer, Outcome, Reason, Refusal, Revoked};
+use ebonylug_net::client::{self, Client};
+use ebonylug_net::frame::{Frame, Reader, Tail};
+use ebonylug_net::key::SharedKey;
+use ebonylug_net::rpc::SidecarLink;
+use ebonylug_net::wire::{self, Refused};
+
+use crate::sink::{HungUp, Sink};
+
+/// Time for a sidecar to admit or refuse. It answers at once; the rest is for the body to travel.
+const ADMISSION_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without a frame after which a connection counts as silent: three keep-alive intervals.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Times that a sidecar is asked what became of an attempt.
+const SETTLE_TRIES: u32 = 4;
+/// Pause before the second question; it doubles each time.
+const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+/// Bound on the body of a refusal, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+
+/// A call of a caller, as it is passed to the target.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// The path and query at the target.
+    pub path: Box<str>,
+    /// The headers that are passed on.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A sidecar, as entries reach it.
+pub struct Peer {
+    /// The address of the data path.
+    pub data: SocketAddr,
+    /// Control calls.
+    pub link: SidecarLink,
+    bearer: HeaderValue,
+    client: Client,
+    clock: Arc<dyn Clock>,
+}
+
+enum Step {
+    Done(Outcome),
+    /// The connection broke or went silent; what became of the attempt must be asked.
+    Broken,
+    HungUp,
+}
+
+impl Peer {
+    /// Creates a peer; connections are made when they are needed.
+    #[must_use]
+    pub fn new(
+        data: SocketAddr,
+        control: SocketAddr,
+        key: &SharedKey,
+        client: Client,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        let bearer = format!("Bearer {}", key.bearer());
+        Peer {
+            data,
+            link: SidecarLink::new(control, key.clone()),
+            bearer: HeaderValue::from_str(&bearer).expect("the token is hex"),
+            client,
+            clock,
+        }
+    }
+
+    /// Runs one attempt and passes its answer to `sink`.
+    ///
+    /// The outcome is `Refused` only if it is proven that the request was not run. When a connection
+    /// breaks or goes silent, the sidecar is asked over a new one: an attempt that it has not seen is
+    /// revoked, and the answer of one that it runs is resumed from the byte where it broke off.
+    pub async fn run(&self, offer: &Offer, call: &Call, sink: &mut Sink) -> Outcome {
+        let mut offset = 0;
+        let mut step = self.dispatch(offer, call, sink, &mut offset).await;
+        loop {
+            step = match step {
+                Step::Done(outcome) => return outcome,
+                Step::HungUp => return self.abandon(offer).await,
+                Step::Broken => self.settle(offer, sink, &mut offset).await,
+            };
+        }
+    }
+
+    async fn dispatch(
+        &self,
+        offer: &Offer,
+        call: &Call,
+        sink: &mut Sink,
+        offset: &mut u64,
+    ) -> Step {
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = self.uri("/dispatch");
+        *request.headers_mut() = call.headers.clone();
+        let headers = request.headers_mut();
+        headers.insert(wire::OFFER, wire::offer_header(offer));
+        headers.insert(wire::METHOD, value(call.method.as_str()));
+        headers.insert(wire::PATH, value(&call.path));
+        headers.insert(header::AUTHORIZATION, self.bearer.clone());
+        match self.client.send(request, ADMISSION_TIMEOUT).await {
+            Ok(response) => self.receive(response, sink, offset).await,
+            Err(client::Error::Connect) => Step::Done(not_run(Reason::Down)),
+            Err(_) => Step::Broken,
+        }
+    }
+
+    async fn receive(
+        &self,
+        response: Response<Incoming>,
+        sink: &mut Sink,
+        offset: &mut u64,
+    ) -> Step {
+        match response.status() {
+            StatusCode::OK => read(response.into_body(), sink, offset, &*self.clock).await,
+            StatusCode::CONFLICT => refused(response.into_body()).await,
+            // It has run, and its answer is no longer retained.
+            StatusCode::GONE => Step::Done(Outcome::Failed),
+            // Rejected before it reached admission.
+            status if status.is_client_error() => Step::Done(not_run(Reason::Invalid)),
+            _ => Step::Broken,
+        }
+    }
+
+    /// Finds out what became of an attempt whose connection broke.
+    async fn settle(&self, offer: &Offer, sink: &mut Sink, offset: &mut u64) -> Step {
+        let mut pause = SETTLE_PAUSE;
+        for _ in 0..SETTLE_TRIES {
+            match self.link.revoke(offer.attempt, offer.incarnation).await {
+                Ok(Revoked::NotRun) => return Step::Done(not_run(Reason::Revoked)),
+                Ok(Revoked::Unknown) => return Step::Done(Outcome::Unknown),
+                Ok(Revoked::Running | Revoked::Finished) => {
+                    match self.resume(offer, sink, offset).await {
+                        Step::Broken => {}
+                        step => return step,
+                    }
+                }
+                Err(error) => {
+                    tracing::warn!(attempt = %offer.attempt, %error, "entry: sidecar does not answer")
+                }
+            }
+            tokio::time::sleep(pause).await;
+            pause *= 2;
+        }
+        Step::Done(Outcome::Unknown)
+    }
+
+    async fn resume(&self, offer: &Offer, sink: &mut Sink, offset: &mut u64) -> Step {
+        let path = format!("/attempts/{}?offset={}", offer.attempt, offset);
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = self.uri(&path);
+        request
+            .headers_mut()
+            .insert(header::AUTHORIZATION, self.bearer.clone());
+        match self.client.send_fresh(request, ADMISSION_TIMEOUT).await {
+            Ok(response) if response.status() == StatusCode::OK => {
+                read(response.into_body(), sink, offset, &*self.clock).await
+            }
+            // The answer is no longer retained.
+            Ok(_) => Step::Done(Outcome::Failed),
+            Err(_) => Step::Broken,
+        }
+    }
+
+    async fn abandon(&self, offer: &Offer) -> Outcome {
+        if let Err(error) = self.link.cancel(offer.attempt).await {
+            tracing::debug!(attempt = %offer.attempt, %error, "entry: cancel was not answered");
+        }
+        Outcome::Failed
+    }
+
+    fn uri(&self, path: &str) -> http::Uri {
+        let uri = format!("http://{}{path}", self.data);
+        uri.parse().expect("an address and a path make a URI")
+    }
+}
+
+/// Reads frames until the answer ends or the connection breaks.
+async fn read(mut body: Incoming, sink: &mut Sink, offset: &mut u64, clock: &dyn Clock) -> Step {
+    let mut reader = Reader::new();
+    loop {
+        match reader.next() {
+            Ok(Some(frame)) => {
+                if let Some(step) = pass(frame, sink, offset, clock).await {
+                    return step;
+                }
+                continue;
+            }
+            Ok(None) => {}
+            Err(error) => {
+                tracing::warn!(%error, "entry: frames cannot be read");
+                return Step::Broken;
+            }
+        }
+        match tokio::time::timeout(SILENCE_TIMEOUT, body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                if let Some(data) = frame.data_ref() {
+                    reader.push(data);
+                }
+            }
+            // An answer without a tail has broken off, even if the connection was closed cleanly.
+            Ok(Some(Err(_)) | None) | Err(_) => return Step::Broken,
+        }
+        if sink.is_closed() {
+            return Step::HungUp;
+        }
+    }
+}
+
+async fn pass(frame: Frame, sink: &mut Sink, offset: &mut u64, clock: &dyn Clock) -> Option<Step> {
+    let passed = match frame {
+        Frame::NotRun(Refused { refusal, report }) => {
+            return Some(Step::Done(Outcome::Refused(refusal, Some(report))));
+        }
+        Frame::Tail(tail) => return Some(Step::Done(outcome(tail))),
+        Frame::KeepAlive => Ok(()),
+        Frame::Head(head) => sink.head(head).await,
+        Frame::Data(data) => {
+            *offset += data.len() as u64;
+            sink.data(clock.now(), data).await
+        }
+    };
+    match passed {
+        Ok(()) => None,
+        Err(HungUp) => Some(Step::HungUp),
+    }
+}
+
+fn outcome(tail: Tail) -> Outcome {
+    match tail.end {
+        End::Answered => Outcome::Answered,
+        End::Cancelled if tail.preempted => Outcome::Preempted {
+            received: tail.tokens,
+        },
+        End::Cancelled | End::Failed | End::Crashed => Outcome::Failed,
+    }
+}
+
+async fn refused(body: Incoming) -> Step {
+    let body = http_body_util::Limited::new(body, MAX_REFUSAL_BYTES).collect();
+    let refused = match tokio::time::timeout(ADMISSION_TIMEOUT, body).await {
+        Ok(Ok(body)) => serde_json::from_slice::<Refused>(&body.to_bytes()).ok(),
+        _ => None,
+    };
+    // The status alone proves that the attempt was refused.
+    Step::Done(match refused {
+        Some(Refused { refusal, report }) => Outcome::Refused(refusal, Some(report)),
+        None => not_run(Reason::Full),
+    })
+}
+
+fn not_run(reason: Reason) -> Outcome {
+    Outcome::Refused(Refusal::new(reason), None)
+}
+
+fn value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).expect("methods and paths are visible ASCII")
+}
--- /dev/null
+++ b/crates/ebonylug-entry/src/configuration.rs
@@ -0,0 +1,170 @@
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use tokio::sync::watch;
+
+use ebonylug_config::{
+    Applied, Changes, ConfigState, Fetched, Head, Publisher, Settings, Snapshot, SourceId,
+    StoreSource, fetch, pollers,
+};
+use ebonylug_core::{Clock, Incarnation, Name, Revision};
+use ebonylug_net::rpc::EntryLink;
+use ebonylug_platform::{HttpPlatform, ObjectHash};
+use ebonylug_resource::{Change, Document, Result};
+
+use crate::view::Current;
+
+/// The interval at which the state is asked what to fetch.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of entries that poll the head row; the others hear of changes from their peers.
+const POLLERS: usize = 3;
+
+/// Keeps the configuration of this entry current, and publishes changes.
+pub struct Configuration {
+    clock: Arc<dyn Clock>,
+    platform: HttpPlatform,
+    publisher: Publisher<HttpPlatform>,
+    current: Arc<Current>,
+    state: Mutex<ConfigState>,
+    peers: Mutex<HashMap<Name, Arc<EntryLink>>>,
+    changed: watch::Sender<Revision>,
+}
+
+impl Configuration {
+    /// Creates the state of an entry without a configuration.
+    pub fn new(
+        platform: HttpPlatform,
+        incarnation: Incarnation,
+        current: Arc<Current>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Configuration {
+            publisher: Publisher::new(platform.clone(), incarnation),
+            state: Mutex::new(ConfigState::new(Settings::default(), clock.now())),
+            clock,
+            platform,
+            current,
+            peers: Mutex::default(),
+            changed: watch::Sender::new(Revision::default()),
+        }
+    }
+
+    /// Sets the other entries, from which a configuration can be fetched.
+    pub fn set_peers(&self, own: &Name, peers: HashMap<Name, Arc<EntryLink>>) {
+        let mut names: Vec<Name> = peers.keys().cloned().collect();
+        let mut state = self.lock();
+        state.set_peers(names.clone());
+        names.push(own.clone());
+        let poller = pollers(&names, POLLERS).contains(own);
+        state.set_poller(self.clock.now(), poller);
+        drop(state);
+        *self.peers.lock().expect("peers lock poisoned") = peers;
+    }
+
+    /// Notes the revision that a peer has in force.
+    pub fn heard(&self, peer: &Name, revision: Revision) {
+        self.lock().heard(peer, revision);
+    }
+
+    /// Subscribes to the revision in force.
+    pub fn changes(&self) -> watch::Receiver<Revision> {
+        self.changed.subscribe()
+    }
+
+    /// Returns what has changed since a revision, for a watch.
+    pub fn changes_since(&self, revision: Revision) -> Option<Changes> {
+        self.lock().changes_since(revision)
+    }
+
+    /// Returns the head of the configuration in force, for peers.
+    pub fn head(&self) -> Option<Head> {
+        Some(self.lock().snapshot()?.head().clone())
+    }
+
+    /// Returns a manifest or section in force, for peers.
+    pub fn body(&self, hash: &ObjectHash) -> Option<Box<str>> {
+        let state = self.lock();
+        let body = state.snapshot()?.body(hash)?;
+        Some(std::str::from_utf8(body).ok()?.into())
+    }
+
+    /// Publishes a change; it is in force at this entry when the call returns.
+    ///
+    /// # Errors
+    ///
+    /// The problem tells whether the change was not valid, lost a race, or found no store.
+    pub async fn publish(&self, change: &Change) -> Result<Arc<Document>> {
+        let snapshot = self.publisher.publish(change).await?;
+        let document = Arc::clone(snapshot.document());
+        self.apply(snapshot);
+        Ok(document)
+    }
+
+    /// Checks a change without publishing it.
+    ///
+    /// # Errors
+    ///
+    /// As for [`publish`](Self::publish).
+    pub async fn dry_run(&self, change: &Change) -> Result<Document> {
+        self.publisher.dry_run(change).await
+    }
+
+    /// Follows the accepted configuration until the future is dropped.
+    pub async fn run(&self) {
+        let mut interval = tokio::time::interval(TICK_INTERVAL);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            let source = self.lock().tick(self.clock.now());
+            if let Some(source) = source {
+                self.fetch(source).await;
+            }
+        }
+    }
+
+    async fn fetch(&self, source: SourceId) {
+        let known = self.lock().snapshot().cloned();
+        let fetched = match &source {
+            SourceId::Store => fetch(&StoreSource(self.platform.clone()), known.as_ref())
+                .await
+                .into(),
+            SourceId::Peer(name) => match self.peer(name) {
+                Some(peer) => fetch(&*peer, known.as_ref()).await.into(),
+                None => Fetched::Failed,
+            },
+        };
+        let now: Instant = self.clock.now();
+        let applied = self.lock().fetched(now, &source, fetched);
+        if applied == Applied::InForce {
+            self.announce();
+        }
+    }
+
+    fn apply(&self, snapshot: Snapshot) {
+        if self.lock().apply(snapshot) == Applied::InForce {
+            self.announce();
+        }
+    }
+
+    fn announce(&self) {
+        let document = self.lock().document().cloned();
+        let Some(document) = document else {
+            return;
+        };
+        let revision = document.revision();
+        if self.current.apply(document) {
+            tracing::info!(%revision, "config: in force");
+            self.changed.send_replace(revision);
+        }
+    }
+
+    fn peer(&self, name: &Name) -> Option<Arc<EntryLink>> {
+        let peers = self.peers.lock().expect("peers lock poisoned");
+        peers.get(name).map(Arc::clone)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ConfigState> {
+        self.state.lock().expect("configuration lock poisoned")
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-entry/src/dispatcher.rs
@@ -0,0 +1,276 @@
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use tokio::sync::Notify;
+
+use ebonylug_core::{Clock, LoadReport, Name, Offer, Outcome, Reason, Refusal};
+use ebonylug_routing::{Action, Disposition, Request, RequestKey, Router, TargetKey};
+
+use crate::attempt::{Call, Peer};
+use crate::moves::{Moves, Observation, is_base};
+use crate::sink::{Part, Sink};
+use crate::view::Current;
+
+/// The longest time between two rounds of the router.
+const MAX_PAUSE: Duration = Duration::from_millis(100);
+
+/// A request of a caller that has not ended.
+#[derive(Debug)]
+pub struct Job {
+    /// The call, as it is passed to the target.
+    pub call: Arc<Call>,
+    /// Where the answer goes.
+    pub sink: Sink,
+    /// Whether the answer is passed on as it arrives.
+    pub streamed: bool,
+}
+
+/// Connects the decisions of the router to sidecars and callers.
+///
+/// Handlers enqueue jobs; one task polls the router and starts a task for each attempt.
+pub struct Dispatcher {
+    clock: Arc<dyn Clock>,
+    current: Arc<Current>,
+    moves: Arc<Moves>,
+    state: Mutex<State>,
+    wake: Notify,
+    runtime: tokio::runtime::Handle,
+}
+
+struct State {
+    router: Router,
+    /// Jobs that wait. The job of a live attempt is with its task.
+    jobs: HashMap<RequestKey, Job>,
+    peers: HashMap<TargetKey, Arc<Peer>>,
+}
+
+/// An attempt that is to be sent.
+struct Attempt {
+    key: RequestKey,
+    offer: Offer,
+    peer: Arc<Peer>,
+    route: Name,
+    version: Name,
+    cold: bool,
+}
+
+impl Dispatcher {
+    /// Creates a dispatcher without targets; `run` must be spawned on the current runtime.
+    pub fn new(
+        router: Router,
+        clock: Arc<dyn Clock>,
+        current: Arc<Current>,
+        moves: Arc<Moves>,
+    ) -> Self {
+        Dispatcher {
+            clock,
+            current,
+            moves,
+            state: Mutex::new(State {
+                router,
+                jobs: HashMap::new(),
+                peers: HashMap::new(),
+            }),
+            wake: Notify::new(),
+            runtime: tokio::runtime::Handle::current(),
+        }
+    }
+
+    /// Queues a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the queue does not take the request.
+    pub fn enqueue(&self, request: Request, job: Job) -> Result<RequestKey, Refusal> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let key = state.router.enqueue(now, request)?;
+        state.jobs.insert(key, job);
+        drop(state);
+        self.wake.notify_one();
+        Ok(key)
+    }
+
+    /// Ends a request whose caller has hung up. A live attempt notices by its sink.
+    pub fn cancel(&self, key: RequestKey) {
+        let mut state = self.lock();
+        if state.jobs.remove(&key).is_some() {
+            state.router.cancel(key);
+        }
+    }
+
+    /// Takes over a report of a sidecar.
+    pub fn report(&self, target: TargetKey, report: &LoadReport) {
+        let now = self.clock.now();
+        self.lock().router.report(now, target, report);
+        self.wake.notify_one();
+    }
+
+    /// Makes a target's sidecar reachable.
+    pub fn add_peer(&self, target: TargetKey, peer: Arc<Peer>) {
+        self.lock().peers.insert(target, peer);
+    }
+
+    /// Forgets a target's sidecar.
+    pub fn remove_peer(&self, target: TargetKey) {
+        self.lock().peers.remove(&target);
+    }
+
+    /// Runs `change` on the router, for changes of targets, shares and zones.
+    pub fn update<T>(&self, change: impl FnOnce(&mut Router) -> T) -> T {
+        let result = change(&mut self.lock().router);
+        self.wake.notify_one();
+        result
+    }
+
+    /// Polls the router until the future is dropped.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            let pause = self.round();
+            let _ = tokio::time::timeout(pause, self.wake.notified()).await;
+        }
+    }
+
+    /// Carries out what the router has decided, and returns the time until it must be asked again.
+    fn round(self: &Arc<Self>) -> Duration {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let actions = state.router.poll(now);
+        for action in actions {
+            match action {
+                Action::Dispatch(dispatch) => {
+                    self.start(
+                        &mut state,
+                        now,
+                        dispatch.request,
+                        dispatch.target,
+                        dispatch.offer,
+                    );
+                }
+                Action::Shed {
+                    request, refusal, ..
+                } => self.end(&mut state, request, Part::Refused(refusal)),
+                Action::Abort { request, .. } => self.end(&mut state, request, Part::Failed),
+            }
+        }
+        let wake = state.router.next_wake(now);
+        wake.map_or(MAX_PAUSE, |at| {
+            at.saturating_duration_since(now).min(MAX_PAUSE)
+        })
+    }
+
+    fn start(
+        self: &Arc<Self>,
+        state: &mut State,
+        now: Instant,
+        key: RequestKey,
+        target: TargetKey,
+        offer: Offer,
+    ) {
+        let attempt = state.attempt(key, target, &offer);
+        let job = state.jobs.remove(&key);
+        let (Some(attempt), Some(job)) = (attempt, job) else {
+            // The target left or the caller hung up in this instant: nothing was sent.
+            let refused = Outcome::Refused(Refusal::new(Reason::NoTarget), None);
+            state.router.outcome(now, offer.attempt, refused);
+            return;
+        };
+        let dispatcher = Arc::clone(self);
+        self.runtime.spawn(async move {
+            dispatcher.attempt(attempt, job).await;
+        });
+    }
+
+    async fn attempt(self: Arc<Self>, attempt: Attempt, mut job: Job) {
+        job.sink.begin(self.clock.now());
+        let outcome = attempt
+            .peer
+            .run(&attempt.offer, &job.call, &mut job.sink)
+            .await;
+        let now = self.clock.now();
+        self.observe(&attempt, &job.sink, &outcome, now);
+        let stopped = matches!(outcome, Outcome::Preempted { .. });
+        // A plain answer of which a part was passed on cannot be continued by another attempt.
+        let outcome = if stopped && !job.sink.reset(job.streamed) {
+            Outcome::Failed
+        } else {
+            outcome
+        };
+        let part = last_part(&outcome);
+        let disposition = {
+            let mut state = self.lock();
+            let disposition = state.router.outcome(now, attempt.offer.attempt, outcome);
+            if matches!(disposition, Disposition::Requeued | Disposition::Shed) {
+                state.jobs.insert(attempt.key, job);
+                self.wake.notify_one();
+                return;
+            }
+            disposition
+        };
+        self.wake.notify_one();
+        debug_assert_eq!(
+            disposition,
+            Disposition::Ended,
+            "an attempt has one outcome"
+        );
+        job.sink.finish(part).await;
+    }
+
+    /// Counts what the attempt says about the version of its target.
+    fn observe(&self, attempt: &Attempt, sink: &Sink, outcome: &Outcome, now: Instant) {
+        let answered = match outcome {
+            Outcome::Answered => !sink.is_server_error(),
+            // A caller who hangs up says nothing about the version.
+            Outcome::Failed if sink.is_closed() => return,
+            Outcome::Failed | Outcome::Unknown => false,
+            Outcome::Refused(..) | Outcome::Preempted { .. } => return,
+        };
+        let view = self.current.view();
+        let base = is_base(&view.document, &attempt.route, &attempt.version);
+        let observation = Observation {
+            answered,
+            first: sink.first(),
+            token: sink.pace(now),
+            cold: attempt.cold,
+        };
+        self.moves
+            .record(&attempt.route, &attempt.version, base, observation);
+    }
+
+    fn end(&self, state: &mut State, key: RequestKey, part: Part) {
+        let Some(mut job) = state.jobs.remove(&key) else {
+            return;
+        };
+        self.runtime
+            .spawn(async move { job.sink.finish(part).await });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("dispatcher lock poisoned")
+    }
+}
+
+impl State {
+    fn attempt(&self, key: RequestKey, target: TargetKey, offer: &Offer) -> Option<Attempt> {
+        let route = self.router.request(key)?.route;
+        let version = self.router.target(target)?.version;
+        Some(Attempt {
+            key,
+            offer: offer.clone(),
+            peer: Arc::clone(self.peers.get(&target)?),
+            route: self.router.route_name(route).clone(),
+            version: self.router.version_name(version).clone(),
+            cold: self.router.is_cold(target),
+        })
+    }
+}
+
+fn last_part(outcome: &Outcome) -> Part {
+    match outcome {
+        Outcome::Answered => Part::End,
+        Outcome::Refused(refusal, _) => Part::Refused(*refusal),
+        Outcome::Preempted { .. } | Outcome::Failed => Part::Failed,
+        Outcome::Unknown => Part::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-entry/src/http.rs
@@ -0,0 +1,30 @@
+use std::sync::Arc;
+
+use http::{Method, StatusCode};
+
+use ebonylug_net::serve::{self, Answer, Request};
+use ebonylug_net::stop::Phase;
+
+use crate::{Shared, caller, operator};
+
+/// Answers one request of a caller or operator.
+pub async fn handle(shared: Arc<Shared>, request: Request) -> Answer {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/healthz") => serve::text(StatusCode::OK, "ok\n"),
+        (&Method::GET, "/readyz") => ready(&shared),
+        (&Method::GET, "/metrics") => serve::text(StatusCode::OK, shared.metrics.render()),
+        (_, path) if path.starts_with(operator::PREFIX) => operator::handle(shared, request).await,
+        _ => caller::handle(shared, request).await,
+    }
+}
+
+/// An entry without a configuration is not ready: it never serves an old default.
+fn ready(shared: &Shared) -> Answer {
+    if shared.stop.phase() != Phase::Running {
+        return serve::text(StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
+    }
+    if shared.current.revision().0 == 0 {
+        return serve::text(StatusCode::SERVICE_UNAVAILABLE, "no configuration\n");
+    }
+    serve::text(StatusCode::OK, "ready\n")
+}
--- a/crates/ebonylug-entry/src/lib.rs
+++ b/crates/ebonylug-entry/src/lib.rs
@@ -1,1 +1,289 @@
 //! The process that callers and operators talk to.
+//!
+//! An entry queues the requests of its callers, chooses targets, and sends each request to the
+//! sidecar of its target. It keeps nothing that must last: requests that wait were not run, attempts
+//! that were sent are known to their sidecars, and calls that may not be repeated are recorded in
+//! the platform's table.
+//!
+//! - [`Settings`]: the settings file.
+//! - [`Entry`]: a running entry.
+//!
+//! The decisions are those of the crates `ebonylug-routing`, `ebonylug-zones`,
+//! `ebonylug-membership`, `ebonylug-moves` and `ebonylug-config`; this crate connects them to
+//! sockets and to the clock.
+
+mod attempt;
+mod caller;
+mod configuration;
+mod dispatcher;
+mod fleet;
+mod http;
+mod moves;
+mod operator;
+mod peers;
+mod prompt;
+mod reference;
+mod reply;
+mod settings;
+mod sink;
+mod status;
+mod view;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use ebonylug_core::{Clock, Incarnation, Revision};
+use ebonylug_net::metrics::Metrics;
+use ebonylug_net::serve::Server;
+use ebonylug_net::stop::{Phase, Stop};
+use ebonylug_platform::{HttpPlatform, InstanceList, InstanceRow, InstanceState};
+use ebonylug_routing::Router;
+
+use crate::configuration::Configuration;
+use crate::dispatcher::Dispatcher;
+use crate::fleet::Fleet;
+use crate::moves::Moves;
+use crate::peers::Peers;
+use crate::view::Current;
+
+pub use settings::{Invalid, Operator, Role, Settings};
+
+/// The interval at which the instance list is read.
+const LIST_INTERVAL: Duration = Duration::from_secs(2);
+/// The interval of timeouts and slow returns.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for one call of the platform's service.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Why an entry could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A setting is out of range.
+    #[error("settings: {0}")]
+    Settings(#[from] Invalid),
+    /// An address cannot be used.
+    #[error("{address}: {source}")]
+    Listen {
+        /// The address in the settings.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+/// The result of starting an entry.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// What the handlers of an entry share.
+struct Shared {
+    settings: Arc<Settings>,
+    clock: Arc<dyn Clock>,
+    current: Arc<Current>,
+    dispatcher: Arc<Dispatcher>,
+    fleet: Arc<Fleet>,
+    configuration: Arc<Configuration>,
+    moves: Arc<Moves>,
+    peers: Peers,
+    stop: Stop,
+    metrics: Metrics,
+}
+
+impl Shared {
+    fn is_ready(&self) -> bool {
+        self.stop.phase() == Phase::Running
+            && self.current.revision() > Revision(0)
+            && self.fleet.is_heard()
+    }
+}
+
+/// A running entry. Dropping it stops it at once, as a crash would.
+pub struct Entry {
+    shared: Arc<Shared>,
+    server: Server,
+    control: SocketAddr,
+    tasks: tokio::task::JoinSet<()>,
+}
+
+impl Entry {
+    /// Starts an entry on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a setting is out of range or an address cannot be used.
+    pub async fn start(settings: Settings, clock: Arc<dyn Clock>, seed: u64) -> Result<Self> {
+        settings.check()?;
+        let settings = Arc::new(settings);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let incarnation = Incarnation::random(&mut rng);
+        let current = Arc::new(Current::default());
+        let router = Router::new(ebonylug_routing::Settings::default(), rng.random());
+        let moves = Arc::new(Moves::new(Arc::clone(&clock), incarnation));
+        let dispatcher = Arc::new(Dispatcher::new(
+            router,
+            Arc::clone(&clock),
+            Arc::clone(&current),
+            Arc::clone(&moves),
+        ));
+        let fleet_settings = fleet::Settings {
+            entry: settings.instance.clone(),
+            subset: settings.subset,
+            key: settings.key.clone(),
+        };
+        let fleet = Fleet::new(
+            fleet_settings,
+            Arc::clone(&clock),
+            Arc::clone(&current),
+            Arc::clone(&dispatcher),
+        );
+        let platform = HttpPlatform::new(settings.platform).timeout(PLATFORM_TIMEOUT);
+        let configuration = Arc::new(Configuration::new(
+            platform.clone(),
+            incarnation,
+            Arc::clone(&current),
+            Arc::clone(&clock),
+        ));
+        let shared = Arc::new(Shared {
+            settings: Arc::clone(&settings),
+            clock,
+            current,
+            dispatcher: Arc::clone(&dispatcher),
+            fleet: Arc::clone(&fleet),
+            configuration: Arc::clone(&configuration),
+            moves,
+            peers: Peers::new(settings.instance.clone(), incarnation, settings.key.clone()),
+            stop: Stop::new(),
+            metrics: Metrics::new(),
+        });
+
+        let control = bind(settings.control)?;
+        let control_address = control.local_addr().unwrap_or(settings.control);
+        let control = tokio::net::TcpListener::from_std(control)
+            .map_err(|source| listen_error(settings.control, source))?;
+        let listener = bind(settings.listen)?;
+        let handler = Arc::clone(&shared);
+        let server = Server::start(listener, settings.workers, move |request| {
+            http::handle(Arc::clone(&handler), request)
+        })
+        .map_err(|source| listen_error(settings.listen, source))?;
+
+        let mut tasks = tokio::task::JoinSet::new();
+        tasks.spawn(dispatcher.run());
+        tasks.spawn(follow_list(platform, Arc::clone(&shared)));
+        tasks.spawn(follow_configuration(Arc::clone(&shared)));
+        tasks.spawn(tick(fleet));
+        tasks.spawn(peers::run(Arc::clone(&shared), rng.random()));
+        let served = Arc::clone(&shared);
+        tasks.spawn(ebonylug_net::rpc::listen(
+            control,
+            settings.key.clone(),
+            move |stream| peers::serve(stream, Arc::clone(&served)),
+        ));
+        tracing::info!(
+            instance = %settings.instance,
+            listen = %server.address(),
+            control = %control_address,
+            %incarnation,
+            "entry: started"
+        );
+        Ok(Entry {
+            shared,
+            server,
+            control: control_address,
+            tasks,
+        })
+    }
+
+    /// Returns the address of callers and operators.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Reports whether the entry serves callers: it has a configuration and has heard of a target of
+    /// each route.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// Returns the entry's line of the instance list.
+    #[must_use]
+    pub fn row(&self) -> InstanceRow {
+        let settings = &self.shared.settings;
+        InstanceRow {
+            instance: settings.instance.clone(),
+            zone: settings.zone.clone(),
+            state: InstanceState::Live,
+            data: self.address().to_string().into(),
+            control: self.control.to_string().into(),
+            target: None,
+        }
+    }
+
+    /// Stops as planned: refuses new work as not run, finishes what it has, and returns the number
+    /// of requests that remained at the bound.
+    pub async fn stop(mut self) -> usize {
+        self.shared.stop.drain();
+        tracing::info!(active = self.shared.stop.active(), "entry: leaving");
+        let settings = &self.shared.settings;
+        let remaining = self.shared.stop.finish(settings.lag, settings.bound).await;
+        self.tasks.abort_all();
+        tracing::info!(remaining, "entry: stopped");
+        remaining
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let bind = || {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    };
+    bind().map_err(|source| listen_error(address, source))
+}
+
+fn listen_error(address: SocketAddr, source: std::io::Error) -> Error {
+    Error::Listen { address, source }
+}
+
+async fn follow_list(platform: HttpPlatform, shared: Arc<Shared>) {
+    loop {
+        match platform.instances().await {
+            Ok(rows) => {
+                let links = shared.peers.listed(&rows);
+                shared
+                    .configuration
+                    .set_peers(&shared.settings.instance, links);
+                shared.fleet.listed(rows);
+            }
+            Err(error) => tracing::warn!(%error, "fleet: the instance list does not answer"),
+        }
+        tokio::time::sleep(LIST_INTERVAL).await;
+    }
+}
+
+async fn follow_configuration(shared: Arc<Shared>) {
+    let mut changes = shared.configuration.changes();
+    tokio::join!(shared.configuration.run(), async {
+        while changes.changed().await.is_ok() {
+            shared.moves.reconcile(&shared.current.view().document);
+            shared.fleet.reconcile();
+            shared
+                .dispatcher
+                .update(|router| shared.moves.apply_shares(router));
+        }
+    });
+}
+
+async fn tick(fleet: Arc<Fleet>) {
+    let mut interval = tokio::time::interval(TICK_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        fleet.tick();
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-entry/src/moves.rs
@@ -0,0 +1,207 @@
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime};
+
+use ebonylug_core::{Clock, Fence, Incarnation, Name};
+use ebonylug_moves::{
+    Actions, Bucket, Capacity, Evidence, MoveSpec, MoveState, MoveStatus, Sample, Share, StoreState,
+};
+use ebonylug_resource::{Document, Move, RouteSpec};
+use ebonylug_routing::Router;
+
+use crate::reference::References;
+
+/// Age of the evidence that entries tell each other.
+const RECENT: Duration = Duration::from_secs(60);
+
+/// What an entry saw of one attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Observation {
+    /// Whether the whole answer arrived, without a server error.
+    pub answered: bool,
+    /// Time to the first byte.
+    pub first: Option<Duration>,
+    /// Mean time between parts of a streamed answer.
+    pub token: Option<Duration>,
+    /// Whether the target was in cold start.
+    pub cold: bool,
+}
+
+/// The moves of this entry, with the evidence about the versions in them.
+pub struct Moves {
+    clock: Arc<dyn Clock>,
+    incarnation: Incarnation,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    evidence: Evidence,
+    references: References,
+    moves: BTreeMap<Name, MoveState>,
+}
+
+impl Moves {
+    /// Creates the state of an entry without moves.
+    pub fn new(clock: Arc<dyn Clock>, incarnation: Incarnation) -> Self {
+        Moves {
+            clock,
+            incarnation,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Takes over the active moves of a configuration, and forgets the others.
+    pub fn reconcile(&self, document: &Document) {
+        let now = self.clock.wall();
+        let mut state = self.lock();
+        let active = document.all::<ebonylug_resource::MoveSpec>().values();
+        let active: BTreeMap<Name, &Arc<Move>> = active
+            .filter(|planned| planned.spec.state == ebonylug_resource::MoveState::Active)
+            .map(|planned| (planned.name().clone(), planned))
+            .collect();
+        for (name, running) in &mut state.moves {
+            if !active.contains_key(name) {
+                running.abort(now, "the move was withdrawn by an operator");
+            }
+        }
+        state.moves.retain(|name, _| active.contains_key(name));
+        for (name, planned) in active {
+            let spec = spec_of(planned);
+            let known = state
+                .moves
+                .get(&name)
+                .is_some_and(|known| *known.spec() == spec);
+            if !known {
+                state.moves.insert(name, MoveState::new(spec));
+            }
+        }
+    }
+
+    /// Counts an attempt that has ended.
+    pub fn record(&self, route: &Name, version: &Name, base: bool, observation: Observation) {
+        let now = self.clock.wall();
+        let mut state = self.lock();
+        let sample = match (observation.answered, observation.first) {
+            (false, _) => Sample::failed(),
+            (true, None) => Sample::answered(),
+            (true, Some(first)) => {
+                if base && !observation.cold {
+                    state.references.record(route, first, observation.token);
+                }
+                Sample::answered().timed(first, observation.token, state.references.get(route))
+            }
+        };
+        // Without a move, nobody compares versions, and the evidence would only use memory.
+        if state.moves.is_empty() {
+            return;
+        }
+        let sample = sample.cold(observation.cold);
+        state.evidence.record(
+            now,
+            self.incarnation,
+            version.clone(),
+            route.clone(),
+            sample,
+        );
+    }
+
+    /// Takes over what a peer knows.
+    pub fn heard(&self, evidence: &Evidence, statuses: &[MoveStatus]) {
+        let now = self.clock.wall();
+        let mut state = self.lock();
+        state.evidence.merge(evidence);
+        for status in statuses {
+            if let Some(known) = state.moves.get_mut(&status.name) {
+                known.observe(now, status);
+            }
+        }
+    }
+
+    /// Returns recent evidence for peers.
+    pub fn recent(&self) -> Evidence {
+        let since = self
+            .clock
+            .wall()
+            .checked_sub(RECENT)
+            .unwrap_or(SystemTime::UNIX_EPOCH);
+        self.lock().evidence.since(Bucket::of(since), None)
+    }
+
+    /// Returns the state of all moves.
+    pub fn statuses(&self) -> Vec<MoveStatus> {
+        self.lock().moves.values().map(MoveState::status).collect()
+    }
+
+    #[expect(dead_code, reason = "the driver of moves is not connected yet")]
+    /// Advances all moves and returns what is to be done for each.
+    pub fn tick(
+        &self,
+        capacity: impl Fn(&MoveSpec) -> Capacity,
+        store: StoreState,
+        lease: Option<Fence>,
+    ) -> Vec<(MoveSpec, Actions)> {
+        let now = self.clock.wall();
+        let mut state = self.lock();
+        let State {
+            evidence, moves, ..
+        } = &mut *state;
+        let advance = |running: &mut MoveState| {
+            running.set_capacity(capacity(running.spec()));
+            let actions = running.tick(now, evidence, store, lease);
+            (running.spec().clone(), actions)
+        };
+        moves.values_mut().map(advance).collect()
+    }
+
+    #[expect(dead_code, reason = "the driver of moves is not connected yet")]
+    /// Confirms that a status is in the table.
+    pub fn written(&self, status: &MoveStatus) {
+        if let Some(known) = self.lock().moves.get_mut(&status.name) {
+            known.written(status);
+        }
+    }
+
+    /// Gives the routes of all moves their present shares.
+    pub fn apply_shares(&self, router: &mut Router) {
+        for running in self.lock().moves.values() {
+            set_shares(router, running.spec(), running.share());
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("moves lock poisoned")
+    }
+}
+
+/// Gives the new version of a move `share` of its routes, and the old one the rest.
+pub fn set_shares(router: &mut Router, spec: &MoveSpec, share: Share) {
+    let from = router.version_key(&spec.from);
+    let to = router.version_key(&spec.to);
+    for route in &spec.routes {
+        let route = router.route_key(route);
+        router.set_shares(
+            route,
+            &[(from, 1.0 - share.fraction()), (to, share.fraction())],
+        );
+    }
+}
+
+/// Reports whether a version is the base of a route.
+pub fn is_base(document: &Document, route: &Name, version: &Name) -> bool {
+    let route = document.get::<RouteSpec>(route.as_str());
+    route.is_some_and(|route| route.spec.base == *version)
+}
+
+fn spec_of(planned: &Move) -> MoveSpec {
+    let spec = &planned.spec;
+    let mut made = MoveSpec::new(
+        planned.name().as_str(),
+        spec.route.as_str(),
+        spec.from.as_str(),
+        spec.to.as_str(),
+    )
+    .window(spec.start.time(), spec.deadline.time());
+    made.revision = planned.metadata.revision;
+    made
+}
--- /dev/null
+++ b/crates/ebonylug-entry/src/operator.rs
@@ -0,0 +1,321 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderMap, Method, StatusCode, Uri, header};
+use serde::Serialize;
+
+use ebonylug_config::Changes;
+use ebonylug_core::{Name, Revision};
+use ebonylug_net::key::same_hash;
+use ebonylug_net::serve::{self, Answer, Request};
+use ebonylug_net::wire;
+use ebonylug_resource::{
+    AnyResource, Change, Difference, Document, Edit, Expected, Kind, Problem, TokenHash,
+    parse_resources,
+};
+
+use crate::settings::Role;
+use crate::{Shared, reply, status};
+
+/// The prefix of the resource API.
+pub const PREFIX: &str = "/api/v1/";
+/// Bound on the body of a request, in bytes.
+const MAX_BODY_BYTES: usize = 4 << 20;
+/// Time to receive the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which a watch without changes returns.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+
+type Result<T, E = Problem> = std::result::Result<T, E>;
+
+/// A list of resources with the revision that it shows.
+#[derive(Debug, Serialize)]
+struct List {
+    revision: Revision,
+    items: Vec<AnyResource>,
+}
+
+/// The answer to a watch.
+#[derive(Debug, Serialize)]
+struct Watch {
+    revision: Revision,
+    /// Whether `changed` holds the whole configuration, because `since` was too old.
+    full: bool,
+    changed: Vec<AnyResource>,
+    deleted: Vec<Deleted>,
+}
+
+#[derive(Debug, Serialize)]
+struct Deleted {
+    kind: Kind,
+    name: Name,
+}
+
+/// Answers a request of an operator.
+pub async fn handle(shared: Arc<Shared>, request: Request) -> Answer {
+    let Some(role) = role(&shared, request.headers()) else {
+        let problem = denied(401, "the bearer token is missing or not known");
+        return refuse(&problem);
+    };
+    if role < Role::Admin && request.method() != Method::GET {
+        return refuse(&denied(403, "the token permits reading only"));
+    }
+    match answer(&shared, request).await {
+        Ok(answer) => answer,
+        Err(problem) => refuse(&problem),
+    }
+}
+
+fn refuse(problem: &Problem) -> Answer {
+    let status = StatusCode::from_u16(problem.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let body = serde_json::to_vec(problem).unwrap_or_default();
+    serve::bytes(status, "application/problem+json", body.into())
+}
+
+fn denied(status: u16, detail: &str) -> Problem {
+    Problem {
+        kind: "urn:ebonylug:problem:denied".into(),
+        title: "The operation is not permitted".into(),
+        status,
+        detail: detail.into(),
+        resource: None,
+        field: None,
+        reason: None,
+    }
+}
+
+/// All operators are compared, so that the time tells nothing about the place of a match.
+fn role(shared: &Shared, headers: &HeaderMap) -> Option<Role> {
+    let token = TokenHash::of(wire::bearer(headers)?).to_string();
+    let operators = shared.settings.operators.iter();
+    operators
+        .filter(|operator| same_hash(&operator.token.to_string(), &token))
+        .map(|operator| operator.role)
+        .max()
+}
+
+async fn answer(shared: &Arc<Shared>, request: Request) -> Result<Answer> {
+    let (parts, body) = request.into_parts();
+    let (_, body) = body.replace_body(());
+    let path = parts.uri.path().strip_prefix(PREFIX).unwrap_or_default();
+    let segments: Vec<&str> = path.split('/').collect();
+    let (method, query) = (&parts.method, Query::of(&parts.uri));
+    let expected = expected(&parts.headers)?;
+    match (method, segments.as_slice()) {
+        (&Method::GET, ["resources", plural]) => list(shared, kind(plural)?),
+        (&Method::GET, ["resources", plural, name]) => get(shared, kind(plural)?, name),
+        (&Method::PUT, ["resources", plural, name]) => {
+            let text = text(body).await?;
+            let change = put(kind(plural)?, name, &text)?.expecting(expected);
+            apply(shared, &change, query.dry_run).await
+        }
+        (&Method::DELETE, ["resources", plural, name]) => {
+            let change = Change::delete(kind(plural)?, name).expecting(expected);
+            apply(shared, &change, query.dry_run).await
+        }
+        (&Method::POST, ["apply"]) => {
+            let change = Change::put_all(parse_resources(&text(body).await?)?).expecting(expected);
+            apply(shared, &change, query.dry_run).await
+        }
+        (&Method::GET, ["watch"]) => watch(shared, query.since).await,
+        (&Method::GET, ["quarantine"]) => Ok(quarantine(shared)),
+        (&Method::DELETE, ["quarantine", fingerprint]) => release(shared, fingerprint),
+        _ => Err(Problem::not_found("there is no such path")),
+    }
+}
+
+fn kind(plural: &str) -> Result<Kind> {
+    let found = Kind::ALL.into_iter().find(|kind| kind.plural() == plural);
+    found.ok_or_else(|| Problem::not_found(&format!("there is no kind {plural:?}")))
+}
+
+async fn text(body: xitca_web::body::RequestBody) -> Result<String> {
+    let bytes = serve::collect(body, MAX_BODY_BYTES, BODY_TIMEOUT).await;
+    let bytes = bytes.map_err(|error| Problem::malformed("", "body", &error.to_string()))?;
+    String::from_utf8(bytes.into())
+        .map_err(|_| Problem::malformed("", "body", "the body is not UTF-8"))
+}
+
+fn expected(headers: &HeaderMap) -> Result<Expected> {
+    if headers
+        .get(header::IF_NONE_MATCH)
+        .is_some_and(|value| value == "*")
+    {
+        return Ok(Expected::Absent);
+    }
+    let Some(value) = headers.get(header::IF_MATCH) else {
+        return Ok(Expected::Any);
+    };
+    let revision = value
+        .to_str()
+        .ok()
+        .and_then(|tag| tag.trim_matches('"').parse().ok());
+    let problem = || {
+        Problem::malformed(
+            "If-Match",
+            "not a revision",
+            "If-Match must be an ETag of this API",
+        )
+    };
+    revision.map(Expected::Revision).ok_or_else(problem)
+}
+
+fn put(kind: Kind, name: &str, text: &str) -> Result<Change> {
+    let mut resources = parse_resources(text)?;
+    let (Some(resource), true) = (resources.pop(), resources.is_empty()) else {
+        return Err(Problem::malformed(
+            "",
+            "one resource is expected",
+            "the body must hold one resource",
+        ));
+    };
+    if resource.kind() != kind || resource.name().as_str() != name {
+        let detail = format!("the body is {}/{}", resource.kind(), resource.name());
+        return Err(Problem::malformed(
+            "metadata.name",
+            "differs from the path",
+            &detail,
+        ));
+    }
+    Ok(Change::put_all([resource]))
+}
+
+fn list(shared: &Shared, kind: Kind) -> Result<Answer> {
+    let view = shared.current.view();
+    let items = view.document.list(kind);
+    let items = items
+        .into_iter()
+        .map(|item| status::observe(shared, item))
+        .collect();
+    let revision = view.document.revision();
+    Ok(serve::json(StatusCode::OK, &List { revision, items }))
+}
+
+fn get(shared: &Shared, kind: Kind, name: &str) -> Result<Answer> {
+    let view = shared.current.view();
+    let found = view.document.find(kind, name);
+    let found =
+        found.ok_or_else(|| Problem::not_found(&format!("{kind}/{name} does not exist")))?;
+    Ok(resource(shared, found))
+}
+
+fn resource(shared: &Shared, found: AnyResource) -> Answer {
+    let tag = format!("\"{}\"", found.metadata().revision);
+    let mut answer = serve::json(StatusCode::OK, &status::observe(shared, found));
+    reply::insert(&mut answer, header::ETAG, &tag);
+    answer
+}
+
+async fn apply(shared: &Shared, change: &Change, dry_run: bool) -> Result<Answer> {
+    let document = if dry_run {
+        Arc::new(shared.configuration.dry_run(change).await?)
+    } else {
+        shared.configuration.publish(change).await?
+    };
+    Ok(changed(shared, &document, change))
+}
+
+/// Answers a single edit with the resource, and several with a list.
+fn changed(shared: &Shared, document: &Document, change: &Change) -> Answer {
+    let subjects = change.edits.iter().map(Edit::subject);
+    let items: Vec<AnyResource> = subjects
+        .filter_map(|(kind, name)| document.find(kind, name.as_str()))
+        .collect();
+    match <[AnyResource; 1]>::try_from(items) {
+        Ok([item]) if change.edits.len() == 1 => resource(shared, item),
+        Ok(item) => listed(document, item.into()),
+        Err(items) => listed(document, items),
+    }
+}
+
+fn listed(document: &Document, items: Vec<AnyResource>) -> Answer {
+    let revision = document.revision();
+    serve::json(StatusCode::OK, &List { revision, items })
+}
+
+async fn watch(shared: &Shared, since: Revision) -> Result<Answer> {
+    let mut changes = shared.configuration.changes();
+    let newer = changes.wait_for(|revision| *revision > since);
+    // Without a change, the answer shows the revision that the watcher knows.
+    let _ = tokio::time::timeout(WATCH_TIMEOUT, newer).await;
+    let unavailable = || Problem::unavailable("no configuration is in force");
+    let changes = shared
+        .configuration
+        .changes_since(since)
+        .ok_or_else(unavailable)?;
+    Ok(serve::json(StatusCode::OK, &watched(changes)))
+}
+
+fn watched(changes: Changes) -> Watch {
+    match changes {
+        Changes::Full(document) => Watch {
+            revision: document.revision(),
+            full: true,
+            changed: Kind::ALL
+                .into_iter()
+                .flat_map(|kind| document.list(kind))
+                .collect(),
+            deleted: Vec::new(),
+        },
+        Changes::Since { revision, changes } => {
+            let mut watch = Watch {
+                revision,
+                full: false,
+                changed: Vec::new(),
+                deleted: Vec::new(),
+            };
+            for Difference {
+                kind,
+                name,
+                resource,
+            } in changes
+            {
+                match resource {
+                    Some(resource) => watch.changed.push(resource),
+                    None => watch.deleted.push(Deleted { kind, name }),
+                }
+            }
+            watch
+        }
+    }
+}
+
+fn quarantine(shared: &Shared) -> Answer {
+    let crashes = shared.fleet.crashes();
+    let quarantined: Vec<_> = crashes.quarantined().collect();
+    serve::json(
+        StatusCode::OK,
+        &serde_json::json!({ "quarantined": quarantined }),
+    )
+}
+
+fn release(shared: &Shared, fingerprint: &str) -> Result<Answer> {
+    let fingerprint = fingerprint.parse().map_err(|error| {
+        Problem::malformed("fingerprint", "not a fingerprint", &format!("{error}"))
+    })?;
+    shared.fleet.update_crashes(|log| log.release(fingerprint));
+    tracing::info!(%fingerprint, "entry: released from quarantine by an operator");
+    Ok(quarantine(shared))
+}
+
+/// The query parameters of the resource API.
+struct Query {
+    dry_run: bool,
+    since: Revision,
+}
+
+impl Query {
+    fn of(uri: &Uri) -> Self {
+        let value = |name: &str| {
+            let pairs = uri.query().unwrap_or_default().split('&');
+            let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+        };
+        Query {
+            dry_run: value("dryRun") == Some("true"),
+            since: value("since")
+                .and_then(|since| since.parse().ok())
+                .unwrap_or_default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-entry/src/peers.rs
@@ -0,0 +1,153 @@
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use rand::SeedableRng;
+use rand::seq::IteratorRandom;
+use rand_chacha::ChaCha8Rng;
+use tarpc::context::Context;
+use tarpc::server::Channel;
+use tokio::net::TcpStream;
+
+use ebonylug_config::Head;
+use ebonylug_core::{Incarnation, Name};
+use ebonylug_net::key::SharedKey;
+use ebonylug_net::rpc::{EntryControl, EntryLink, Gossip, server_channel};
+use ebonylug_platform::{InstanceRow, InstanceState, ObjectHash};
+
+use crate::Shared;
+
+/// The interval of exchanges with peers.
+const GOSSIP_INTERVAL: Duration = Duration::from_millis(500);
+/// Peers that are asked in each interval. What one entry knows reaches 410 entries in about six
+/// intervals, since the number that know it grows by a factor of about three in each.
+const FANOUT: usize = 2;
+/// Calls that one connection may run at a time.
+const MAX_CONCURRENT: usize = 64;
+
+/// The other entries.
+pub struct Peers {
+    own: Name,
+    incarnation: Incarnation,
+    key: SharedKey,
+    links: Mutex<HashMap<Name, (Box<str>, Arc<EntryLink>)>>,
+}
+
+impl Peers {
+    /// Creates the state of an entry that knows no others.
+    pub fn new(own: Name, incarnation: Incarnation, key: SharedKey) -> Self {
+        Peers {
+            own,
+            incarnation,
+            key,
+            links: Mutex::default(),
+        }
+    }
+
+    /// Takes over the entries of the instance list and returns their links.
+    pub fn listed(&self, rows: &[InstanceRow]) -> HashMap<Name, Arc<EntryLink>> {
+        let mut links = self.links.lock().expect("peers lock poisoned");
+        let entries = rows.iter().filter(|row| {
+            row.target.is_none() && row.instance != self.own && row.state == InstanceState::Live
+        });
+        let mut next = HashMap::new();
+        for row in entries {
+            let Ok(address) = row.control.parse() else {
+                tracing::warn!(instance = %row.instance, "peers: address in the instance list is not valid");
+                continue;
+            };
+            let known = links
+                .remove(&row.instance)
+                .filter(|(control, _)| *control == row.control);
+            let link = match known {
+                Some((_, link)) => link,
+                None => Arc::new(EntryLink::new(address, self.key.clone())),
+            };
+            next.insert(row.instance.clone(), (row.control.clone(), link));
+        }
+        *links = next;
+        links
+            .iter()
+            .map(|(name, (_, link))| (name.clone(), Arc::clone(link)))
+            .collect()
+    }
+
+    fn choose(&self, rng: &mut ChaCha8Rng) -> Vec<Arc<EntryLink>> {
+        let links = self.links.lock().expect("peers lock poisoned");
+        links
+            .values()
+            .map(|(_, link)| Arc::clone(link))
+            .sample(rng, FANOUT)
+    }
+}
+
+/// Exchanges knowledge with some peers in each interval, until the future is dropped.
+pub async fn run(shared: Arc<Shared>, seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut interval = tokio::time::interval(GOSSIP_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let chosen = shared.peers.choose(&mut rng);
+        let exchanges = chosen.iter().map(|peer| exchange(&shared, peer));
+        futures_util::future::join_all(exchanges).await;
+    }
+}
+
+/// Sends what changed at once to all peers that are chosen next, for example a rollback.
+pub async fn exchange(shared: &Shared, peer: &EntryLink) {
+    match peer.exchange(gossip(shared)).await {
+        Ok(gossip) => accept(shared, &gossip),
+        Err(error) => tracing::debug!(%error, "peers: an entry does not answer"),
+    }
+}
+
+fn gossip(shared: &Shared) -> Gossip {
+    Gossip {
+        entry: shared.peers.own.clone(),
+        incarnation: shared.peers.incarnation,
+        revision: shared.current.revision(),
+        evidence: shared.moves.recent(),
+        crashes: shared.fleet.crashes(),
+        moves: shared.moves.statuses(),
+    }
+}
+
+fn accept(shared: &Shared, gossip: &Gossip) {
+    shared.configuration.heard(&gossip.entry, gossip.revision);
+    shared
+        .fleet
+        .update_crashes(|log| log.merge(&gossip.crashes));
+    shared.moves.heard(&gossip.evidence, &gossip.moves);
+}
+
+/// Answers control calls.
+#[derive(Clone)]
+struct Control {
+    shared: Arc<Shared>,
+}
+
+/// Serves control calls on one connection until it ends.
+pub async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+    let control = Control { shared };
+    server_channel(stream)
+        .execute(control.serve())
+        .for_each_concurrent(MAX_CONCURRENT, |call| call)
+        .await;
+}
+
+impl EntryControl for Control {
+    async fn exchange(self, _: Context, theirs: Gossip) -> Gossip {
+        accept(&self.shared, &theirs);
+        gossip(&self.shared)
+    }
+
+    async fn head(self, _: Context) -> Option<Head> {
+        self.shared.configuration.head()
+    }
+
+    async fn body(self, _: Context, hash: ObjectHash) -> Option<Box<str>> {
+        self.shared.configuration.body(&hash)
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-entry/src/status.rs
@@ -0,0 +1,99 @@
+use std::time::SystemTime;
+
+use ebonylug_core::{Gate, LoadReport};
+use ebonylug_membership::MemberState;
+use ebonylug_resource::{AnyResource, Condition, Status, Timestamp};
+use ebonylug_zones::ZoneState;
+
+use crate::Shared;
+use crate::fleet::Observed;
+
+/// Adds what this entry observes to a resource.
+pub fn observe(shared: &Shared, resource: AnyResource) -> AnyResource {
+    let conditions = match &resource {
+        AnyResource::Target(target) => vec![target_condition(
+            shared.fleet.observed(target.name()),
+            shared.clock.wall(),
+        )],
+        AnyResource::AvailabilityZone(zone) => {
+            vec![zone_condition(
+                shared.fleet.zone(zone.name()),
+                shared.clock.wall(),
+            )]
+        }
+        _ => return resource,
+    };
+    resource.with_status(Status { conditions })
+}
+
+/// Makes a condition.
+pub fn condition(kind: &str, reason: &str, message: &str, time: SystemTime) -> Condition {
+    Condition {
+        kind: kind.into(),
+        reason: reason.into(),
+        message: message.into(),
+        time: Timestamp::new(time),
+    }
+}
+
+fn target_condition(observed: Option<Observed>, now: SystemTime) -> Condition {
+    let Some(observed) = observed else {
+        let message = "the target is not in the subset of this entry, or not in the instance list";
+        return condition("Ready", "NotObserved", message, now);
+    };
+    let (reason, message) = match (observed.member, &observed.report) {
+        (Some((MemberState::Leaving, _)), _) => (
+            "Leaving",
+            "the target leaves and gets no new work".to_owned(),
+        ),
+        (Some((MemberState::Gone | MemberState::Silent | MemberState::Suspect, _)), _)
+        | (_, None) => (
+            "Silent",
+            "nothing was heard of the sidecar for too long".to_owned(),
+        ),
+        (_, Some(report)) => target_reason(report),
+    };
+    condition("Ready", reason, &message, now)
+}
+
+fn target_reason(report: &LoadReport) -> (&'static str, String) {
+    let load = format!("{} of {} tokens in use", report.used.0, report.limit.0);
+    match report {
+        LoadReport {
+            gate: Gate::ZoneClosed,
+            ..
+        } => ("ZoneClosed", "the zone was taken out of service".to_owned()),
+        LoadReport {
+            gate: Gate::Leaving,
+            ..
+        } => ("Leaving", "the sidecar leaves".to_owned()),
+        LoadReport { up: false, .. } => {
+            ("Down", "the target does not accept connections".to_owned())
+        }
+        LoadReport { cold: true, .. } => ("Cold", load),
+        _ => ("Ready", load),
+    }
+}
+
+fn zone_condition(state: Option<ZoneState>, now: SystemTime) -> Condition {
+    let (reason, message) = match state {
+        Some(state) => zone_reason(state),
+        None => (
+            "NotObserved",
+            "no target of the zone is known to this entry",
+        ),
+    };
+    condition("Serving", reason, message, now)
+}
+
+fn zone_reason(state: ZoneState) -> (&'static str, &'static str) {
+    match state {
+        ZoneState::Open => ("Open", "the zone gets new work"),
+        ZoneState::Drained => ("Drained", "operators have taken the zone out of service"),
+        ZoneState::Dark => ("Dark", "most targets of the zone are silent"),
+        ZoneState::Returning => (
+            "Returning",
+            "the share of the zone rises as its targets get warm",
+        ),
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-net/src/rpc/sidecar.rs
@@ -0,0 +1,189 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
+
+use ebonylug_admission::CrashLog;
+use ebonylug_core::{AttemptId, Gate, Incarnation, LoadReport, Revision, Revoked, Tokens};
+
+use super::link::{Link, Result, deadline};
+use super::{HEARTBEAT, transport};
+use crate::key::SharedKey;
+
+/// Time for a call that is answered at once.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for a report, which the sidecar holds back for up to a heartbeat interval.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+const _: () = assert!(REPORT_TIMEOUT.as_millis() > HEARTBEAT.as_millis());
+
+/// What an entry tells a sidecar to enforce. A lower revision than the one in force has no effect.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Instructions {
+    /// The configuration revision.
+    pub revision: Revision,
+    /// Whether new work is admitted.
+    pub gate: Gate,
+    /// The crashes that the entry knows of.
+    pub crashes: CrashLog,
+}
+
+/// The state of a sidecar.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The state of the target.
+    pub load: LoadReport,
+    /// Number of crashes that the sidecar knows of, its own and those it was told.
+    pub crashes: u64,
+}
+
+/// What a caller of [`SidecarControl::report`] knows already.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Seen {
+    incarnation: Option<Incarnation>,
+    revision: Revision,
+    gate: Gate,
+    up: bool,
+    cold: bool,
+    limit: Tokens,
+    used: Tokens,
+    crashes: u64,
+}
+
+impl Seen {
+    /// The change of work or limit, as a share of the limit, that is worth a report.
+    const SIGNIFICANT: f64 = 0.25;
+
+    /// Notes a report as known.
+    #[must_use]
+    pub fn of(report: &Report) -> Self {
+        let Report {
+            load: report,
+            crashes,
+        } = report;
+        Seen {
+            incarnation: Some(report.incarnation),
+            revision: report.revision,
+            gate: report.gate,
+            up: report.up,
+            cold: report.cold,
+            limit: report.limit,
+            used: report.used,
+            crashes: *crashes,
+        }
+    }
+
+    /// Reports whether `report` is worth sending before the heartbeat.
+    #[must_use]
+    pub fn is_outdated_by(&self, report: &Report) -> bool {
+        let now = Seen::of(report);
+        let same_state = Seen {
+            limit: self.limit,
+            used: self.used,
+            ..now
+        };
+        if *self != same_state {
+            return true;
+        }
+        let moved = |a: Tokens, b: Tokens| (a.as_f64() - b.as_f64()).abs();
+        let bound = report.load.limit.as_f64() * Self::SIGNIFICANT;
+        moved(self.limit, now.limit) > bound || moved(self.used, now.used) > bound
+    }
+}
+
+/// The control calls of a sidecar. All are idempotent.
+#[tarpc::service]
+pub trait SidecarControl {
+    /// Returns the state once it differs enough from `seen` or a heartbeat interval has passed.
+    async fn report(seen: Seen) -> Report;
+    /// Makes sure that an attempt that was not run will not be run, or tells what became of it.
+    async fn revoke(attempt: AttemptId, incarnation: Incarnation) -> Revoked;
+    /// Stops an attempt whose answer nobody waits for.
+    async fn cancel(attempt: AttemptId);
+    /// Returns the crashes that the sidecar knows of.
+    async fn crashes() -> CrashLog;
+    /// Puts instructions in force; returns the revision that is in force then.
+    async fn instruct(instructions: Instructions) -> Revision;
+}
+
+/// A connection to a sidecar's control calls.
+#[derive(Debug)]
+pub struct SidecarLink {
+    link: Link<SidecarControlClient>,
+}
+
+impl SidecarLink {
+    /// Creates a link that connects when it is first used.
+    #[must_use]
+    pub fn new(address: SocketAddr, key: SharedKey) -> Self {
+        SidecarLink {
+            link: Link::new(address, key, client),
+        }
+    }
+
+    /// Waits for a state that differs enough from `seen`, at most a heartbeat interval.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the sidecar does not answer in time.
+    pub async fn report(&self, seen: Seen) -> Result<Report> {
+        let call = |client: SidecarControlClient| async move {
+            client.report(deadline(REPORT_TIMEOUT), seen).await
+        };
+        self.link.call(call).await
+    }
+
+    /// Revokes an attempt that was addressed to `incarnation`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the sidecar does not answer in time; the attempt's outcome is then unknown.
+    pub async fn revoke(&self, attempt: AttemptId, incarnation: Incarnation) -> Result<Revoked> {
+        let call = |client: SidecarControlClient| async move {
+            client
+                .revoke(deadline(CALL_TIMEOUT), attempt, incarnation)
+                .await
+        };
+        self.link.call(call).await
+    }
+
+    /// Stops an attempt.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the sidecar does not answer in time.
+    pub async fn cancel(&self, attempt: AttemptId) -> Result<()> {
+        let call = |client: SidecarControlClient| async move {
+            client.cancel(deadline(CALL_TIMEOUT), attempt).await
+        };
+        self.link.call(call).await
+    }
+
+    /// Returns the crashes that the sidecar knows of.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the sidecar does not answer in time.
+    pub async fn crashes(&self) -> Result<CrashLog> {
+        let call = |client: SidecarControlClient| async move {
+            client.crashes(deadline(CALL_TIMEOUT)).await
+        };
+        self.link.call(call).await
+    }
+
+    /// Puts instructions in force and returns the revision that is in force then.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the sidecar does not answer in time.
+    pub async fn instruct(&self, instructions: Instructions) -> Result<Revision> {
+        let call = |client: SidecarControlClient| async move {
+            client.instruct(deadline(CALL_TIMEOUT), instructions).await
+        };
+        self.link.call(call).await
+    }
+}
+
+fn client(stream: TcpStream) -> SidecarControlClient {
+    SidecarControlClient::new(tarpc::client::Config::default(), transport(stream)).spawn()
+}
--- /dev/null
+++ b/crates/ebonylug-net/src/serve.rs
@@ -0,0 +1,176 @@
+//! The HTTP server of a process.
+
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
+use http::{HeaderValue, Response, StatusCode, header};
+use serde::Serialize;
+use xitca_web::HttpServer;
+use xitca_web::body::{BodyExt, RequestBody, ResponseBody, StreamDataBody};
+use xitca_web::http::RequestExt;
+use xitca_web::service::fn_service;
+
+/// A request as handlers receive it.
+pub type Request = http::Request<RequestExt<RequestBody>>;
+/// An answer as handlers return it.
+pub type Answer = Response<ResponseBody>;
+
+/// Time to receive the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time that an idle connection is kept; longer than the clients' own bound, so that a client
+/// does not send on a connection that the server is about to close.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+const MAX_HEADERS: usize = 64;
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// A running server. Dropping it closes the listener and the connections.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    handle: Option<xitca_handle::Handle>,
+}
+
+mod xitca_handle {
+    use std::fmt;
+
+    pub struct Handle(pub Box<dyn Fn(bool) + Send + Sync>);
+
+    impl fmt::Debug for Handle {
+        fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+            f.write_str("Handle")
+        }
+    }
+}
+
+impl Server {
+    /// Starts a server with `workers` single-threaded workers on `listener`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the listener cannot be used.
+    pub fn start<F, Fut>(listener: TcpListener, workers: usize, handler: F) -> std::io::Result<Self>
+    where
+        F: Fn(Request) -> Fut + Clone + Send + Sync + 'static,
+        Fut: Future<Output = Answer> + 'static,
+    {
+        let address = listener.local_addr()?;
+        let service = fn_service(move |request: Request| {
+            let answer = handler(request);
+            async move { Ok::<_, std::convert::Infallible>(answer.await) }
+        });
+        let mut running = HttpServer::serve(service)
+            .disable_signal()
+            .worker_threads(workers)
+            .request_head_timeout(HEAD_TIMEOUT)
+            .keep_alive_timeout(IDLE_TIMEOUT)
+            .max_request_headers::<MAX_HEADERS>()
+            .max_read_buf_size::<MAX_HEAD_BYTES>()
+            .listen(listener)?
+            .run();
+        let handle = running.handle()?;
+        tokio::spawn(async move {
+            if let Err(error) = running.await {
+                tracing::error!(%error, "server: stopped with an error");
+            }
+        });
+        Ok(Server {
+            address,
+            handle: Some(xitca_handle::Handle(Box::new(move |graceful| {
+                handle.stop(graceful)
+            }))),
+        })
+    }
+
+    /// Returns the address that the server listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        if let Some(handle) = self.handle.take() {
+            (handle.0)(false);
+        }
+    }
+}
+
+/// Why a body could not be received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BodyError {
+    /// The body is larger than the bound.
+    #[error("the body is larger than {0} bytes")]
+    TooLarge(usize),
+    /// The body took too long.
+    #[error("the body did not arrive in time")]
+    Slow,
+    /// The connection broke.
+    #[error("the body broke off")]
+    Broken,
+}
+
+/// The result of receiving a body.
+pub type Result<T, E = BodyError> = std::result::Result<T, E>;
+
+/// Receives a whole body of at most `limit` bytes within `time`.
+///
+/// # Errors
+///
+/// Fails if the body is too large, too slow or breaks off.
+pub async fn collect(body: RequestBody, limit: usize, time: Duration) -> Result<Bytes> {
+    let receive = async {
+        let mut body = std::pin::pin!(body);
+        let mut whole = BytesMut::new();
+        while let Some(part) = body.as_mut().data().await {
+            let part = part.map_err(|_| BodyError::Broken)?;
+            if whole.len() + part.len() > limit {
+                return Err(BodyError::TooLarge(limit));
+            }
+            whole.extend_from_slice(&part);
+        }
+        Ok(whole.freeze())
+    };
+    tokio::time::timeout(time, receive)
+        .await
+        .unwrap_or(Err(BodyError::Slow))
+}
+
+/// Makes an answer that streams its body. The stream is dropped when the peer hangs up.
+pub fn streaming<S>(stream: S) -> Answer
+where
+    S: Stream<Item = std::io::Result<Bytes>> + 'static,
+{
+    Response::new(ResponseBody::boxed(StreamDataBody::new(Box::pin(stream))))
+}
+
+/// Makes an answer with a JSON body.
+///
+/// # Panics
+///
+/// Panics if the value cannot be written as JSON, which is a defect of its type.
+#[must_use]
+pub fn json(status: StatusCode, value: &impl Serialize) -> Answer {
+    let body = serde_json::to_vec(value).expect("answers are plain data");
+    bytes(status, "application/json", body.into())
+}
+
+/// Makes an answer with a text body.
+#[must_use]
+pub fn text(status: StatusCode, body: impl Into<String>) -> Answer {
+    bytes(status, "text/plain; charset=utf-8", body.into().into())
+}
+
+/// Makes an answer with a body of the given content type.
+#[must_use]
+pub fn bytes(status: StatusCode, kind: &'static str, body: Bytes) -> Answer {
+    let mut answer = Response::new(ResponseBody::bytes(body));
+    *answer.status_mut() = status;
+    answer
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    answer
+}
--- /dev/null
+++ b/crates/ebonylug-net/src/settings.rs
@@ -0,0 +1,74 @@
+//! Loads settings files in JSON with comments.
+
+use std::path::Path;
+
+use serde::de::DeserializeOwned;
+
+/// A settings file that cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The file cannot be read.
+    #[error("{file}: cannot be read: {source}")]
+    Read {
+        /// The path as given.
+        file: Box<str>,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The text is not valid, or a field is unknown or has the wrong type.
+    #[error("{file}:{line}:{column}: {reason}")]
+    Parse {
+        /// The path as given.
+        file: Box<str>,
+        /// The line, from 1.
+        line: usize,
+        /// The column, from 1.
+        column: usize,
+        /// What is wrong.
+        reason: Box<str>,
+    },
+}
+
+/// The result of loading settings.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Reads and parses a settings file.
+///
+/// # Errors
+///
+/// [`Error::Read`] if the file cannot be read, [`Error::Parse`] with the position if its content
+/// is not valid.
+pub fn load<T: DeserializeOwned>(path: &Path) -> Result<T> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
+        file: file.clone().into(),
+        source,
+    })?;
+    parse(&file, &text)
+}
+
+/// Parses the text of a settings file; `file` is used in errors only.
+///
+/// ```
+/// #[derive(Debug, serde::Deserialize)]
+/// struct Settings { workers: usize }
+///
+/// let text = "{\n  // one for each core\n  workers: 'many',\n}";
+/// let error = ebonylug_net::settings::parse::<Settings>("entry.json5", text).unwrap_err();
+/// assert!(error.to_string().starts_with("entry.json5:3:"));
+/// ```
+///
+/// # Errors
+///
+/// [`Error::Parse`] with the position of the first error.
+pub fn parse<T: DeserializeOwned>(file: &str, text: &str) -> Result<T> {
+    json5::from_str(text).map_err(|error| {
+        let position = error.position();
+        Error::Parse {
+            file: file.into(),
+            line: position.map_or(1, |p| p.line + 1),
+            column: position.map_or(1, |p| p.column + 1),
+            reason: error.to_string().into(),
+        }
+    })
+}
--- /dev/null
+++ b/crates/ebonylug-net/src/wire.rs
@@ -0,0 +1,116 @@
+//! The headers of the data path and the answers of a sidecar that are not streams.
+
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+use serde::{Deserialize, Serialize};
+
+use ebonylug_core::{LoadReport, Offer, Refusal};
+
+/// The offer of an attempt, as JSON.
+pub const OFFER: HeaderName = HeaderName::from_static("ebonylug-offer");
+/// The method of the call to the target.
+pub const METHOD: HeaderName = HeaderName::from_static("ebonylug-method");
+/// The path and query of the call to the target.
+pub const PATH: HeaderName = HeaderName::from_static("ebonylug-path");
+/// The attempt id, passed on to the target.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("ebonylug-attempt");
+/// What became of the request, on answers to callers: `not-run`, `unknown`, `failed`.
+pub const OUTCOME: HeaderName = HeaderName::from_static("ebonylug-outcome");
+/// The reason of a refusal, on answers to callers.
+pub const REASON: HeaderName = HeaderName::from_static("ebonylug-reason");
+/// The request id, on answers to callers.
+pub const REQUEST: HeaderName = HeaderName::from_static("ebonylug-request");
+/// The key of a call that must not be run twice.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// The name of the tier that a caller asks for.
+pub const TIER: HeaderName = HeaderName::from_static("ebonylug-tier");
+/// Seconds until the answer is of no more use to the caller.
+pub const DEADLINE: HeaderName = HeaderName::from_static("ebonylug-deadline");
+/// Output token from which a target resumes a stream.
+pub const RESUME: HeaderName = HeaderName::from_static("x-resume-offset");
+
+/// Why an offer could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A header is missing.
+    #[error("header {0} is missing")]
+    Missing(HeaderName),
+    /// A header is not valid.
+    #[error("header {0} is not valid")]
+    Invalid(HeaderName),
+}
+
+/// The result of reading headers.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// The answer of a sidecar that refuses an attempt.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Refused {
+    /// Why.
+    pub refusal: Refusal,
+    /// The state of the sidecar at that moment.
+    pub report: LoadReport,
+}
+
+/// Writes an offer as a header value.
+///
+/// # Panics
+///
+/// Panics if the offer has a name that is not visible ASCII; the resource API admits no such names.
+#[must_use]
+pub fn offer_header(offer: &Offer) -> HeaderValue {
+    let text = serde_json::to_string(offer).expect("an offer is plain data");
+    HeaderValue::from_str(&text).expect("names are visible ASCII")
+}
+
+/// Reads the offer from the headers of a dispatch.
+///
+/// # Errors
+///
+/// Fails if the header is missing or not valid.
+pub fn read_offer(headers: &HeaderMap) -> Result<Offer> {
+    let text = read_text(headers, &OFFER)?;
+    serde_json::from_str(text).map_err(|_| Error::Invalid(OFFER))
+}
+
+/// Reads a header that must be present and visible ASCII.
+///
+/// # Errors
+///
+/// Fails if the header is missing or not visible ASCII.
+pub fn read_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<&'a str> {
+    let value = headers
+        .get(name)
+        .ok_or_else(|| Error::Missing(name.clone()))?;
+    value.to_str().map_err(|_| Error::Invalid(name.clone()))
+}
+
+/// Reads the bearer token of a request.
+#[must_use]
+pub fn bearer(headers: &HeaderMap) -> Option<&str> {
+    headers
+        .get(header::AUTHORIZATION)?
+        .to_str()
+        .ok()?
+        .strip_prefix("Bearer ")
+}
+
+/// Reports whether a header belongs to one connection or to ebonylug and is not passed on.
+#[must_use]
+pub fn is_hop(name: &HeaderName) -> bool {
+    const HOP: [HeaderName; 9] = [
+        header::CONNECTION,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        header::TE,
+        header::TRAILER,
+        header::PROXY_AUTHORIZATION,
+        header::PROXY_AUTHENTICATE,
+        header::HOST,
+        header::CONTENT_LENGTH,
+    ];
+    HOP.contains(name)
+        || name == header::AUTHORIZATION
+        || name == header::EXPECT
+        || name.as_str() == "keep-alive"
+        || name.as_str().starts_with("ebonylug-")
+}
--- a/crates/ebonylug-routing/src/router.rs
+++ b/crates/ebonylug-routing/src/router.rs
@@ -276,6 +276,13 @@
         self.targets.get(key).map(|target| &target.info)
     }
 
+    /// Reports whether a target was in cold start at its last report.
+    #[must_use]
+    pub fn is_cold(&self, key: TargetKey) -> bool {
+        let target = self.targets.get(key);
+        target.is_some_and(|target| target.is_cold())
+    }
+
     /// Returns the live attempts at a target, for example to revoke them when it goes silent.
     #[must_use]
     pub fn attempts_at(&self, target: TargetKey) -> Vec<AttemptId> {
--- /dev/null
+++ b/crates/ebonylug-sidecar/src/control.rs
@@ -0,0 +1,70 @@
+use std::sync::Arc;
+
+use futures_util::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::Channel;
+use tokio::net::TcpStream;
+
+use ebonylug_admission::CrashLog;
+use ebonylug_core::{AttemptId, Incarnation, Revision, Revoked};
+use ebonylug_net::rpc::{HEARTBEAT, Instructions, Report, Seen, SidecarControl, server_channel};
+
+use crate::core::Core;
+
+/// Calls that one connection may run at a time.
+const MAX_CONCURRENT: usize = 64;
+
+/// Answers control calls.
+#[derive(Clone)]
+struct Control {
+    core: Arc<Core>,
+}
+
+/// Serves control calls on one connection until it ends.
+pub async fn serve(stream: TcpStream, core: Arc<Core>) {
+    let control = Control { core };
+    server_channel(stream)
+        .execute(control.serve())
+        .for_each_concurrent(MAX_CONCURRENT, |call| call)
+        .await;
+}
+
+impl Control {
+    fn state(&self) -> Report {
+        Report {
+            load: self.core.report(),
+            crashes: self.core.crash_count(),
+        }
+    }
+}
+
+impl SidecarControl for Control {
+    async fn report(self, _: Context, seen: Seen) -> Report {
+        let mut changes = self.core.changes();
+        let change = async {
+            while !seen.is_outdated_by(&self.state()) {
+                if changes.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(HEARTBEAT, change).await;
+        self.state()
+    }
+
+    async fn revoke(self, _: Context, attempt: AttemptId, incarnation: Incarnation) -> Revoked {
+        self.core.revoke(attempt, incarnation)
+    }
+
+    async fn cancel(self, _: Context, attempt: AttemptId) {
+        self.core.cancel(attempt);
+    }
+
+    async fn crashes(self, _: Context) -> CrashLog {
+        self.core.crashes()
+    }
+
+    async fn instruct(self, _: Context, instructions: Instructions) -> Revision {
+        self.core.instruct(&instructions)
+    }
+}
