--- a/crates/ebonylug-routing/src/poll.rs
+++ b/crates/ebonylug-routing/src/poll.rs
@@ -8,7 +8,7 @@
 use crate::ledger::Stage;
 use crate::prefix::Holder;
 use crate::target::Send;
-use crate::{Action, Actions, Dispatch, RequestKey, RouteKey, Router, TargetKind, VersionKey};
+use crate::{Action, Actions, Dispatch, RequestKey, RouteKey, Router, VersionKey};
 
 /// What one pass over the queues has found out. Room only shrinks during a pass, so that what
 /// is blocked stays blocked.
@@ -75,6 +75,11 @@
     }
 
     /// Sends the first request of a route that has a target, if any.
+    ///
+    /// A request that waits holds up the others for the same version, or a large request would
+    /// wait for ever behind small ones. It does not hold up other versions. How far they may
+    /// get ahead is limited, or a version with a small share would get most of the traffic
+    /// while the others are full.
     fn dispatch_one(
         &mut self,
         now: Instant,
@@ -82,15 +87,8 @@
         route: RouteKey,
         pass: &mut Pass,
     ) -> Option<Dispatch> {
-        // A request that waits holds up the others for the same version, or a large request
-        // would wait for ever behind small ones; but it does not hold up other versions.
         let versions = self.routes[route.index()].shares.len();
-        let lookahead = if versions > 1 {
-            self.settings.lookahead
-        } else {
-            1
-        };
-        for key in self.queue.heads(class, route, lookahead) {
+        for key in self.queue.heads(class, route, self.settings.lookahead) {
             let drawn = self.version_of(key)?;
             let fallback = self.routes[route.index()].shares.fallback(drawn);
             for version in [Some(drawn), fallback].into_iter().flatten() {
@@ -101,7 +99,7 @@
                     self.fall_back(key, drawn, version);
                     return Some(self.send(now, key, chosen));
                 }
-                self.block(class, route, version, pass);
+                self.block(key, version, pass);
             }
             let blocked = pass.blocked.iter().filter(|(other, _)| *other == route);
             if blocked.count() == versions {
@@ -145,14 +143,13 @@
     fn choose(&mut self, key: RequestKey, version: VersionKey, pass: &Pass) -> Option<Chosen> {
         let entry = self.ledger.entry(key);
         let class = entry.request.tier.class;
-        let service = self.routes[entry.request.route.index()].kind == TargetKind::Service;
         let wanted = Wanted {
             class,
             route: entry.request.route,
             version,
             input: entry.input,
             output: entry.output,
-            prefix: if service { &[] } else { &entry.request.prefix },
+            prefix: &entry.request.prefix,
             home: entry.home,
             barred: if class == Class::Batch {
                 &pass.waiting
@@ -163,13 +160,21 @@
         self.chooser.choose(&self.targets, &wanted)
     }
 
-    /// Notes that a version has no room.
-    fn block(&self, class: Class, route: RouteKey, version: VersionKey, pass: &mut Pass) {
-        pass.blocked.push((route, version));
+    /// Notes that a version has no room for a request.
+    fn block(&self, key: RequestKey, version: VersionKey, pass: &mut Pass) {
+        let request = &self.ledger.entry(key).request;
+        let route = request.route;
         let group = self.targets.group(route, version);
-        let serves = group.is_some_and(|group| group.tree.total().limit > 0);
+        let total = group.map(|group| group.tree.total()).unwrap_or_default();
+        // A request above every limit waits for an idle target, which may take long, so it
+        // holds up nothing.
+        if total.limit > 0 && self.ledger.entry(key).cost.0 > total.largest {
+            return;
+        }
+        pass.blocked.push((route, version));
         // Without a serving target there is nothing to keep free for interactive requests.
-        if class == Class::Interactive && serves && !pass.waiting.contains(&route) {
+        let waits = request.tier.is_interactive() && total.limit > 0;
+        if waits && !pass.waiting.contains(&route) {
             pass.waiting.push(route);
         }
     }
--- a/crates/ebonylug-routing/src/room.rs
+++ b/crates/ebonylug-routing/src/room.rs
@@ -11,6 +11,8 @@
     pub(crate) load: u64,
     /// The limit on this work.
     pub(crate) limit: u64,
+    /// The largest limit of one target.
+    pub(crate) largest: u64,
 }
 
 /// Finds a target with enough room in logarithmic time.
@@ -39,6 +41,7 @@
             batch: self.batch.max(other.batch),
             load: self.load.saturating_add(other.load),
             limit: self.limit.saturating_add(other.limit),
+            largest: self.largest.max(other.largest),
         }
     }
 }
--- a/crates/ebonylug-routing/src/router.rs
+++ b/crates/ebonylug-routing/src/router.rs
@@ -148,10 +148,18 @@
         self.targets.set_state(key, state);
     }
 
-    /// Scales the limits of the targets in a zone, for interactive and for batch work. Zero
-    /// stops new work.
+    /// Scales the limits of the targets in a zone, for interactive and for batch work, by
+    /// factors from 0 to 1. Zero stops new work.
     pub fn set_zone_factor(&mut self, zone: ZoneKey, interactive: f64, batch: f64) {
-        self.targets.set_zone_factor(zone, [interactive, batch]);
+        let valid = |factor: f64| {
+            if factor.is_nan() {
+                0.0
+            } else {
+                factor.clamp(0.0, 1.0)
+            }
+        };
+        self.targets
+            .set_zone_factor(zone, [interactive, batch].map(valid));
     }
 
     /// Sets the shares of the versions of a route. A version that is not named gets no work;
@@ -217,7 +225,11 @@
         if request.deadline.is_some_and(|deadline| deadline <= now) {
             return Err(Refusal::new(Reason::Deadline));
         }
-        request.prefix.truncate(self.settings.blocks);
+        let blocks = match route.map(|route| route.kind) {
+            Some(TargetKind::Model) => self.settings.blocks,
+            _ => 0,
+        };
+        request.prefix.truncate(blocks);
         let mut entry = self.entry(request);
         self.make_room(&entry)?;
         self.sequence += 1;
--- a/crates/ebonylug-routing/src/target.rs
+++ b/crates/ebonylug-routing/src/target.rs
@@ -247,6 +247,7 @@
             batch: open(1, load + report.reserved),
             load: load.0,
             limit: report.limit.0,
+            largest: report.limit.0,
         }
     }
 
--- a/crates/ebonylug-routing/src/workload.rs
+++ b/crates/ebonylug-routing/src/workload.rs
@@ -11,8 +11,9 @@
 const MIN_GRAIN: Duration = Duration::from_secs(1);
 /// How often the throughput and the urgent deadline are computed anew.
 const REVIEW: Duration = Duration::from_millis(250);
-/// Weight of a new measurement of the throughput.
-const GAIN: f64 = 0.1;
+/// The throughput is a mean over about this time, in seconds: longer than most requests run,
+/// or it would follow single completions.
+const MEMORY: f64 = 120.0;
 
 /// The waiting batch work by deadline, and how fast this entry gets it done.
 ///
@@ -25,9 +26,10 @@
     groups: BTreeMap<Instant, Group>,
     start: Option<Instant>,
     reviewed: Option<Instant>,
+    /// Work done since the last review.
     done: Tokens,
-    /// Tokens per second; nothing until measured.
-    throughput: Option<f64>,
+    /// Tokens that were done, and the seconds in which work waited, both fading with time.
+    faded: (f64, f64),
     /// Work with a deadline up to this is urgent.
     horizon: Option<Instant>,
 }
@@ -60,6 +62,10 @@
         if entry.requests == 0 {
             self.groups.remove(&group);
         }
+        // Without waiting work the throughput says nothing about the capacity.
+        if self.groups.is_empty() {
+            self.reviewed = None;
+        }
     }
 
     /// Counts batch work that was done.
@@ -73,7 +79,10 @@
         if since.is_some_and(|since| since < REVIEW) {
             return;
         }
-        self.measure(since);
+        let done = std::mem::take(&mut self.done);
+        if let Some(since) = since {
+            self.measure(done.as_f64(), since.as_secs_f64());
+        }
         self.reviewed = Some(now);
         self.horizon = now.checked_add(settings.urgent_slack);
         let mut work = Tokens::ZERO;
@@ -93,23 +102,14 @@
 
     /// Returns how long `work` takes at the measured throughput.
     pub(crate) fn time_for(&self, work: Tokens) -> Option<Duration> {
-        let throughput = self.throughput.filter(|&t| t > 0.0)?;
-        Some(bounded_secs(work.as_f64() / throughput))
+        let (tokens, seconds) = self.faded;
+        (tokens > 0.0).then(|| bounded_secs(work.as_f64() * seconds / tokens))
     }
 
-    fn measure(&mut self, since: Option<Duration>) {
-        let done = std::mem::take(&mut self.done);
-        let seconds = since.map_or(0.0, |since| since.as_secs_f64());
-        // Without waiting work the throughput says nothing about the capacity.
-        if seconds <= 0.0 || self.groups.is_empty() {
-            return;
-        }
-        let measured = done.as_f64() / seconds;
-        self.throughput = match self.throughput {
-            None if done == Tokens::ZERO => None,
-            None => Some(measured),
-            Some(old) => Some(old + GAIN * (measured - old)),
-        };
+    fn measure(&mut self, done: f64, seconds: f64) {
+        let fading = (-seconds / MEMORY).exp();
+        let (tokens, time) = self.faded;
+        self.faded = (tokens * fading + done, time * fading + seconds);
     }
 }
 
