Learn latencies from medians and mean loads; add tests of the parts

Cause: tests with a simulated engine showed three faults of the first version. A single very fast first token became the best time and made all later ones look congested. The load at the instant of the first token was far below the mean when streams ended together. Change: the expectation is the median over similar prompts, raised only by samples at low load; a sample counts for the mean load of its prefill. The default retention is 120 s, since 600 s filled the attempt memory at 109 admissions per second.

--- a/crates/ebonylug-admission/src/admission.rs
+++ b/crates/ebonylug-admission/src/admission.rs
@@ -62,7 +62,7 @@
             refusals: Refusals::new(settings.refusal_memory, settings.retention, now),
             reservations: Reservations::new(settings.max_reservations),
             limit: Limit::new(&settings, now),
-            baseline: Baseline::new(settings.best_window),
+            baseline: Baseline::default(),
             coldness: Coldness::new(settings.silent_factor, settings.silent_samples),
             crashes: CrashLog::new(),
             settings,
@@ -87,31 +87,28 @@
     /// Records the first token of an attempt, which ends its prefill.
     pub fn first_token(&mut self, now: Instant, attempt: AttemptId) {
         self.step(now);
-        let load = self.streams.load();
-        let Some(stream) = self.streams.get_mut(attempt) else {
+        let first = self.streams.first_token(now, attempt);
+        let Some(sample) = first else {
             return;
         };
-        let Some(sample) = stream.first_token(now) else {
+        self.limit.worked(sample.prompt);
+        if sample.admitted < self.limit.since() {
             return;
-        };
-        let (admitted, prompt, cached) = (stream.admitted, stream.prompt, stream.cached);
-        let load = load.min(stream.load);
-        let low = stream.low;
-        self.limit.worked(prompt);
-        if admitted < self.limit.since() {
+        }
+        let low = self.limit.is_low(&self.settings, sample.load);
+        let comparable = low || self.baseline.has_similar(sample.prompt);
+        if self.limit.is_cold() && !comparable {
             return;
         }
-        let low = low && self.limit.is_low(&self.settings, self.streams.load());
         // A wrong guess of the cached part must not look like a cold target.
-        let whole = self.baseline.expected(prompt + cached);
-        let slowness = whole.map_or(1.0, |best| sample.as_secs_f64() / best);
-        let ratio = self.baseline.prefill(now, sample, prompt, low);
+        let whole = self.baseline.expected(sample.prompt + sample.cached);
+        let slowness = whole.map_or(1.0, |usual| sample.time.as_secs_f64() / usual);
+        let ratio = self.baseline.prefill(sample.time, sample.prompt, low);
         if low && !self.limit.is_cold() && self.coldness.sample(slowness) {
             self.cool(now);
             return;
         }
-        self.limit
-            .first_token(&self.settings, now, admitted, ratio, load);
+        self.limit.first_token(&self.settings, now, &sample, ratio);
     }
 
     /// Records output tokens that were delivered since the last call for this attempt.
@@ -129,8 +126,9 @@
             return;
         }
         let low = self.limit.is_low(&self.settings, self.streams.load());
-        let ratio = self.baseline.decode(now, sample.gap, low);
-        self.limit.between_tokens(sample.from, ratio);
+        let ratio = self.baseline.decode(sample.gap, low);
+        self.limit
+            .between_tokens(&self.settings, sample.from, ratio);
     }
 
     /// Records the end of an attempt. Has no effect on an attempt that does not run.
@@ -274,7 +272,10 @@
         self.streams.len() + self.ledger.len() + self.ledger.tombstones()
     }
 
-    /// Does what is due at `now`. To be called at least once in each settings window.
+    /// Does what is due at `now`.
+    ///
+    /// To be called at least once in each window of the settings, and after each refusal of
+    /// interactive work, which may call for batch streams to be preempted.
     pub fn tick(&mut self, now: Instant) -> SmallVec<[Action; 4]> {
         self.step(now);
         let mut actions = SmallVec::new();
@@ -290,6 +291,7 @@
 
     fn step(&mut self, now: Instant) {
         self.sequence += 1;
+        self.streams.advance(now);
         let used = self.streams.load().tokens;
         self.limit.roll(&self.settings, now, used);
     }
@@ -343,7 +345,9 @@
                 Reason::Full
             });
         if preempt.is_err() {
-            self.limit.refused();
+            if !suspect && !self.streams.has_alone() {
+                self.limit.refused(self.streams.load(), cost);
+            }
             self.reserve(now, offer, cost, suspect);
         }
         let preempt = preempt?;
@@ -412,7 +416,7 @@
             return Some(Attempts::new());
         }
         let batch = self.streams.preemptible();
-        let oversized = cost > limit && batch == active;
+        let oversized = cost > limit && batch == active && batch > Tokens::ZERO;
         let need = if oversized { batch } else { need };
         let protected = limit.scale(self.settings.batch_share);
         victims(now, &self.streams, &self.baseline, need, batch - protected)
@@ -440,19 +444,15 @@
 
     fn admit(&mut self, now: Instant, offer: &Offer, cost: Tokens, suspect: bool) {
         self.reservations.take(offer.attempt.request);
-        let mut load = self.streams.load();
-        load.tokens += cost;
-        load.streams += 1;
-        let mut stream = Stream::new(now, offer, cost, load);
+        let mut stream = Stream::new(now, offer, cost);
         if self.settings.kind != Kind::Model {
             stream.prompt = cost;
             stream.cached = Tokens::ZERO;
         }
-        stream.low = self.limit.is_low(&self.settings, load);
         stream.alone = suspect;
         stream.epoch = self.epoch;
         self.streams.insert(offer.attempt, stream);
-        self.limit.admitted(load.tokens);
+        self.limit.admitted(self.streams.load().tokens);
     }
 
     fn refuse(&mut self, now: Instant, offer: &Offer, reason: Reason) -> Decision {
@@ -468,7 +468,7 @@
     fn cool(&mut self, now: Instant) {
         let rate = self.limit.rate();
         self.limit = Limit::new(&self.settings, now).with_rate(rate);
-        self.baseline.reset();
+        self.baseline = Baseline::default();
         self.coldness.reset();
         self.empty_since = now;
     }
--- a/crates/ebonylug-admission/src/baseline.rs
+++ b/crates/ebonylug-admission/src/baseline.rs
@@ -1,107 +1,126 @@
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ebonylug_core::Tokens;
+use smallvec::SmallVec;
 
 /// One bucket for each power of two of prompt tokens.
 const BUCKETS: usize = 32;
 
+/// Samples that are kept for each bucket. Newer ones replace the oldest.
+const SAMPLES: usize = 8;
+
 /// Shorter times come from buffering between the processes, not from the engine.
 const MIN_LATENCY: Duration = Duration::from_micros(100);
 
-/// The best latencies of a target, learned from its own answers.
+/// A latency at high load counts as the expected one up to this factor.
 ///
-/// The time to the first token is a fixed part plus a part for each prompt token. For such a
-/// function, a point `(q, t)` bounds the time for `p` tokens by `t * max(1, p / q)`. The lowest
-/// bound over a few remembered points gives the expected time for any prompt, without a fit that
-/// a single outlier could spoil.
-#[derive(Debug)]
-pub(crate) struct Baseline {
-    window: Duration,
-    points: [Option<Point>; BUCKETS],
-    decode: Option<Best>,
-}
+/// It never raises the expectation: growing up to a tolerated latency, and then learning from that
+/// latency, would raise the limit without end.
+const NEAR: f64 = 1.25;
+
+/// Lowest share of the expectation that is taken over at high load, where a prompt that happened
+/// to be cached cannot be told from a target that has become faster.
+const MAX_DROP: f64 = 0.8;
 
-#[derive(Clone, Copy, Debug)]
-struct Point {
-    tokens: f64,
-    best: Best,
+/// The latencies of a target at low load, learned from its own answers.
+///
+/// The time to the first token is a fixed part plus a part for each prompt token, so a sample
+/// `(q, t)` bounds the time for `p` tokens by `t * max(1, p / q)`. The expectation is the median
+/// of these bounds over prompts of similar size. A median and not a minimum: a prompt that is
+/// found in the cache against expectation is far faster than any other, and would make all later
+/// ones look congested.
+#[derive(Debug, Default)]
+pub(crate) struct Baseline {
+    prefill: [Recent; BUCKETS],
+    decode: Recent,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Best {
-    seconds: f64,
-    at: Instant,
+/// The last few samples, as tokens and seconds.
+#[derive(Debug, Default)]
+struct Recent {
+    samples: SmallVec<[(f64, f64); SAMPLES]>,
+    next: usize,
 }
 
 impl Baseline {
-    pub(crate) fn new(window: Duration) -> Self {
-        Baseline {
-            window,
-            points: [None; BUCKETS],
-            decode: None,
-        }
-    }
-
     /// Returns the expected time to the first token at low load, in seconds.
     pub(crate) fn expected(&self, prompt: Tokens) -> Option<f64> {
         let prompt = prompt.as_f64().max(1.0);
-        self.points
-            .iter()
-            .flatten()
-            .map(|p| p.best.seconds * (prompt / p.tokens).max(1.0))
-            .reduce(f64::min)
+        let similar = self.similar(prompt).map(|sample| bound(sample, prompt));
+        median(similar.collect()).or_else(|| {
+            self.prefill
+                .iter()
+                .filter_map(|recent| recent.expected(prompt))
+                .reduce(f64::min)
+        })
+    }
+
+    /// Reports whether times are known for prompts of up to twice or down to half the size.
+    ///
+    /// For other sizes, the expectation may be far too high to show an overload.
+    pub(crate) fn has_similar(&self, prompt: Tokens) -> bool {
+        self.similar(prompt.as_f64().max(1.0)).next().is_some()
     }
 
     /// Records a time to the first token; returns it relative to the expectation.
-    pub(crate) fn prefill(
-        &mut self,
-        now: Instant,
-        sample: Duration,
-        prompt: Tokens,
-        low: bool,
-    ) -> f64 {
+    pub(crate) fn prefill(&mut self, sample: Duration, prompt: Tokens, low: bool) -> f64 {
+        let expected = self.expected(prompt);
+        let recent = &mut self.prefill[bucket(prompt)];
+        recent.learn(sample, prompt.as_f64().max(1.0), expected, low)
+    }
+
+    /// Records a time between tokens; returns it relative to the expectation.
+    pub(crate) fn decode(&mut self, sample: Duration, low: bool) -> f64 {
+        let expected = self.decode.expected(1.0);
+        self.decode.learn(sample, 1.0, expected, low)
+    }
+
+    fn similar(&self, prompt: f64) -> impl Iterator<Item = (f64, f64)> {
+        let sizes = prompt / 2.0..=prompt * 2.0;
+        self.prefill
+            .iter()
+            .flat_map(|recent| recent.samples.iter().copied())
+            .filter(move |(tokens, _)| sizes.contains(tokens))
+    }
+}
+
+impl Recent {
+    fn expected(&self, tokens: f64) -> Option<f64> {
+        median(self.samples.iter().map(|s| bound(*s, tokens)).collect())
+    }
+
+    fn learn(&mut self, sample: Duration, tokens: f64, expected: Option<f64>, low: bool) -> f64 {
         let seconds = sample.max(MIN_LATENCY).as_secs_f64();
+        let ratio = expected.map_or(1.0, |expected| seconds / expected);
         if low {
-            self.expire_points(now);
-        }
-        let ratio = self.expected(prompt).map_or(1.0, |best| seconds / best);
-        if ratio <= 1.0 {
-            self.points[bucket(prompt)] = Some(Point {
-                tokens: prompt.as_f64().max(1.0),
-                best: Best { seconds, at: now },
-            });
+            self.push((tokens, seconds));
+        } else if ratio <= NEAR {
+            let least = expected.map_or(seconds, |expected| expected * MAX_DROP);
+            let most = expected.unwrap_or(seconds);
+            self.push((tokens, seconds.clamp(least, most)));
         }
         ratio
     }
 
-    /// Records a time between tokens; returns it relative to the best.
-    pub(crate) fn decode(&mut self, now: Instant, sample: Duration, low: bool) -> f64 {
-        let seconds = sample.max(MIN_LATENCY).as_secs_f64();
-        let window = self.window;
-        let best = self
-            .decode
-            .filter(|b| !low || now.saturating_duration_since(b.at) < window);
-        let ratio = best.map_or(1.0, |best| seconds / best.seconds);
-        if ratio <= 1.0 {
-            self.decode = Some(Best { seconds, at: now });
+    fn push(&mut self, sample: (f64, f64)) {
+        if self.samples.len() < SAMPLES {
+            self.samples.push(sample);
+            return;
         }
-        ratio
+        self.samples[self.next] = sample;
+        self.next = (self.next + 1) % SAMPLES;
     }
+}
 
-    /// Forgets everything: the target may be another version or have empty caches.
-    pub(crate) fn reset(&mut self) {
-        *self = Baseline::new(self.window);
-    }
+fn bound((tokens, seconds): (f64, f64), prompt: f64) -> f64 {
+    seconds * (prompt / tokens).max(1.0)
+}
 
-    /// Drops old points, so that a target that became slower for good gets a new baseline.
-    ///
-    /// Only a sample at low load may do so; otherwise a congested target would be taken for a
-    /// slow one, and its limit would grow without end.
-    fn expire_points(&mut self, now: Instant) {
-        for point in &mut self.points {
-            *point = point.filter(|p| now.saturating_duration_since(p.best.at) < self.window);
-        }
-    }
+/// Returns the lower median.
+fn median(mut values: SmallVec<[f64; 3 * SAMPLES]>) -> Option<f64> {
+    values.sort_unstable_by(f64::total_cmp);
+    let middle = values.len().checked_sub(1)? / 2;
+    Some(values[middle])
 }
 
 fn bucket(prompt: Tokens) -> usize {
--- a/crates/ebonylug-admission/src/coldness.rs
+++ b/crates/ebonylug-admission/src/coldness.rs
@@ -3,7 +3,7 @@
 /// Detects that a target returned to cold without notice.
 ///
 /// There are three signs: another engine epoch, counters that fall back, and first tokens at low
-/// load that take far longer than the best.
+/// load that take far longer than usual.
 #[derive(Debug)]
 pub(crate) struct Coldness {
     factor: f64,
--- a/crates/ebonylug-admission/src/crash.rs
+++ b/crates/ebonylug-admission/src/crash.rs
@@ -5,13 +5,13 @@
 use serde::{Deserialize, Serialize};
 
 /// Crashes that a log remembers. With more, the oldest are dropped.
-const MAX_CRASHES: usize = 128;
+const MAX_CRASHES: usize = 64;
 
 /// Fingerprints that are remembered for each crash.
 ///
 /// This is above the number of streams that one engine runs; a crash with more in flight keeps
 /// the lowest hashes, so that all processes keep the same ones.
-const MAX_IN_FLIGHT: usize = 512;
+const MAX_IN_FLIGHT: usize = 256;
 
 /// Crashes that a fingerprint must be in flight in before it is quarantined.
 ///
@@ -131,11 +131,10 @@
 
     /// Takes over what another log knows; returns whether anything was new.
     pub fn merge(&mut self, other: &CrashLog) -> bool {
-        let before = self.crashes.clone();
+        let mut changed = false;
         for crash in other.crashes.values() {
-            self.join(crash);
+            changed |= self.join(crash);
         }
-        let changed = self.crashes != before;
         if changed {
             self.settle();
         }
@@ -192,15 +191,24 @@
         self.settle();
     }
 
-    /// Joins one crash into the log, then restores the bounds.
+    /// Joins one crash into the log and restores the bounds; returns whether anything was new.
     ///
     /// What exceeds a bound is chosen by value only, which keeps merging commutative.
-    fn join(&mut self, crash: &Crash) {
+    fn join(&mut self, crash: &Crash) -> bool {
+        let full = self.crashes.len() >= MAX_CRASHES && !self.crashes.contains_key(&crash.id);
+        if full {
+            let oldest = self.crashes.values().map(|c| (c.order, c.id)).min();
+            let oldest = oldest.expect("the log is not empty");
+            if (crash.order, crash.id) < oldest {
+                return false;
+            }
+            self.crashes.remove(&oldest.1);
+        }
         let known = self.crashes.entry(crash.id).or_insert_with(|| Crash {
             in_flight: BTreeMap::new(),
             ..*crash
         });
-        known.order = known.order.max(crash.order);
+        let before = known.in_flight.clone();
         for (fingerprint, standing) in &crash.in_flight {
             let known = known.in_flight.entry(*fingerprint).or_insert(*standing);
             *known = (*known).max(*standing);
@@ -208,11 +216,7 @@
         while known.in_flight.len() > MAX_IN_FLIGHT {
             known.in_flight.pop_last();
         }
-        if self.crashes.len() > MAX_CRASHES {
-            let oldest = self.crashes.values().map(|c| (c.order, c.id)).min();
-            self.crashes
-                .remove(&oldest.expect("the log is not empty").1);
-        }
+        known.in_flight != before
     }
 
     /// Computes the verdicts anew.
@@ -270,27 +274,28 @@
 
 /// Returns the fingerprint that is the only one in common to the most crashes, if there is one.
 fn culprit(open: &[BTreeSet<Fingerprint>]) -> Option<Fingerprint> {
-    let mut crashes = BTreeMap::<Fingerprint, Vec<&BTreeSet<Fingerprint>>>::new();
-    for suspects in open {
-        for fingerprint in suspects {
-            crashes.entry(*fingerprint).or_default().push(suspects);
-        }
-    }
-    crashes
-        .into_iter()
-        .filter(|(_, sets)| sets.len() >= MIN_CRASHES)
-        .filter(|(fingerprint, sets)| is_only_common(*fingerprint, sets))
-        .max_by_key(|(fingerprint, sets)| (sets.len(), *fingerprint))
-        .map(|(fingerprint, _)| fingerprint)
+    let mut pairs: Vec<(Fingerprint, usize)> = open
+        .iter()
+        .enumerate()
+        .flat_map(|(crash, suspects)| suspects.iter().map(move |f| (*f, crash)))
+        .collect();
+    pairs.sort_unstable();
+    pairs
+        .chunk_by(|a, b| a.0 == b.0)
+        .filter(|group| group.len() >= MIN_CRASHES && is_only_common(group, open))
+        .max_by_key(|group| (group.len(), group[0].0))
+        .map(|group| group[0].0)
 }
 
-fn is_only_common(fingerprint: Fingerprint, sets: &[&BTreeSet<Fingerprint>]) -> bool {
-    let smallest = sets
-        .iter()
+/// Reports whether the crashes of one fingerprint have no other in common.
+fn is_only_common(group: &[(Fingerprint, usize)], open: &[BTreeSet<Fingerprint>]) -> bool {
+    let fingerprint = group[0].0;
+    let sets = || group.iter().map(|(_, crash)| &open[*crash]);
+    let smallest = sets()
         .min_by_key(|set| set.len())
-        .expect("a fingerprint is in a set");
+        .expect("the group is not empty");
     smallest
         .iter()
         .filter(|other| **other != fingerprint)
-        .all(|other| sets.iter().any(|set| !set.contains(other)))
+        .all(|other| sets().any(|set| !set.contains(other)))
 }
--- a/crates/ebonylug-admission/src/lib.rs
+++ b/crates/ebonylug-admission/src/lib.rs
@@ -67,7 +67,7 @@
 //!
 //! The work inside the target is capped in tokens, because the engine itself runs its requests in
 //! order of arrival: work that waits inside it can be neither reordered nor refused. The limit is
-//! relative to the target's own best latencies, so that speeds are discovered and not configured.
+//! relative to the target's own latencies at low load, so that speeds are discovered and not configured.
 //!
 //! A cold target is a different case. Doubling would overload it by many requests before the first
 //! latency shows it. While the target is cold, the limit is the load that it has proved to handle,
--- a/crates/ebonylug-admission/src/limit.rs
+++ b/crates/ebonylug-admission/src/limit.rs
@@ -3,9 +3,14 @@
 use ebonylug_core::Tokens;
 
 use crate::Settings;
+use crate::stream::FirstToken;
 
 /// Weight of a new sample in the average latency.
-const LATENCY_WEIGHT: f64 = 0.25;
+const LATENCY_WEIGHT: f64 = 0.15;
+
+/// Highest relative latency that is averaged, as a multiple of the one that shrinks the limit.
+/// One prompt that misses the cache against expectation must not shrink it.
+const MAX_RATIO: f64 = 2.0;
 
 /// Part of the limit that must have been in use for the limit to grow.
 const USED_SHARE: f64 = 0.8;
@@ -23,15 +28,6 @@
     pub(crate) streams: u32,
 }
 
-impl Load {
-    pub(crate) fn min(self, other: Load) -> Load {
-        Load {
-            tokens: self.tokens.min(other.tokens),
-            streams: self.streams.min(other.streams),
-        }
-    }
-}
-
 /// How the limit changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -110,10 +106,17 @@
         self.since
     }
 
-    /// Reports whether a load is low enough to learn the best latencies from.
+    /// Reports whether a load is low enough to learn the expected latencies from.
+    ///
+    /// In a cold start, only the load from the settings counts. Latencies at the load that has
+    /// been proved since then are a little higher; learning from them would prove a little more
+    /// each time, without end.
     pub(crate) fn is_low(&self, settings: &Settings, load: Load) -> bool {
-        let quarter = Tokens(self.value.0 / 4);
-        load.streams <= 1 || load.tokens <= quarter.max(settings.floor)
+        let tokens = match self.phase {
+            Phase::Cold => settings.cold_limit,
+            Phase::SlowStart | Phase::Steady => Tokens(self.value.0 / 4).max(settings.floor),
+        };
+        load.streams <= 1 || load.tokens <= tokens
     }
 
     /// Reports whether a cold target may get `cost` more work beside `load`.
@@ -133,9 +136,10 @@
         self.window.peak = self.window.peak.max(used);
     }
 
-    /// Records that work was refused for lack of room.
-    pub(crate) fn refused(&mut self) {
-        self.window.short = true;
+    /// Records that work was refused beside `load`, which shows that the limit is in use.
+    pub(crate) fn refused(&mut self, load: Load, cost: Tokens) {
+        let fits_alone = cost <= self.value;
+        self.window.short |= fits_alone && load.tokens + cost > self.value;
     }
 
     /// Records work that the target has done.
@@ -143,28 +147,27 @@
         self.window.work += tokens;
     }
 
-    /// Records the relative latency of a first token, under `load`.
+    /// Records a first token with its relative latency.
     pub(crate) fn first_token(
         &mut self,
         settings: &Settings,
         now: Instant,
-        admitted: Instant,
+        sample: &FirstToken,
         ratio: f64,
-        load: Load,
     ) {
         if self.is_cold() {
-            self.prove(settings, now, ratio, load);
+            self.prove(settings, now, ratio, sample.load);
             return;
         }
-        if admitted >= self.changed {
-            average(&mut self.prefill, ratio);
+        if sample.admitted >= self.changed {
+            average(&mut self.prefill, settings, ratio);
         }
     }
 
     /// Records the relative time between tokens, measured from `from`.
-    pub(crate) fn between_tokens(&mut self, from: Instant, ratio: f64) {
+    pub(crate) fn between_tokens(&mut self, settings: &Settings, from: Instant, ratio: f64) {
         if from >= self.changed {
-            average(&mut self.decode, ratio);
+            average(&mut self.decode, settings, ratio);
         }
     }
 
@@ -271,7 +274,8 @@
     }
 }
 
-fn average(mean: &mut Option<f64>, sample: f64) {
-    let old = mean.unwrap_or(sample);
+fn average(mean: &mut Option<f64>, settings: &Settings, ratio: f64) {
+    let sample = ratio.min(MAX_RATIO * settings.shrink_above);
+    let old = mean.unwrap_or(sample.min(settings.shrink_above));
     *mean = Some(old + LATENCY_WEIGHT * (sample - old));
 }
--- a/crates/ebonylug-admission/src/settings.rs
+++ b/crates/ebonylug-admission/src/settings.rs
@@ -41,7 +41,6 @@
     pub(crate) grow_below: f64,
     pub(crate) shrink_above: f64,
     pub(crate) shrink_factor: f64,
-    pub(crate) best_window: Duration,
     pub(crate) silent_factor: f64,
     pub(crate) silent_samples: u32,
     pub(crate) retention: Duration,
@@ -71,15 +70,15 @@
             step: Tokens(1_024),
             window: Duration::from_millis(500),
             // Decoding slows down with the number of streams long before an engine is overloaded,
-            // so growth tolerates twice the best latency.
+            // so growth tolerates twice the latency at low load.
             grow_below: 2.0,
             shrink_above: 3.0,
             shrink_factor: 0.7,
-            best_window: Duration::from_secs(60),
             silent_factor: 8.0,
             // One slow answer can be a single evicted prefix.
             silent_samples: 3,
-            retention: Duration::from_secs(600),
+            // 65,536 attempts in 120 s allow 546 admissions per second; above, new ones are refused.
+            retention: Duration::from_secs(120),
             max_attempts: 65_536,
             max_tombstones: 16_384,
             refusal_memory: 262_144,
@@ -165,7 +164,7 @@
         self
     }
 
-    /// Sets the latencies, relative to the target's best, up to which the limit grows and above
+    /// Sets the latencies, relative to the target's own at low load, up to which the limit grows and above
     /// which it shrinks.
     #[must_use]
     pub fn tolerance(mut self, grow_below: f64, shrink_above: f64) -> Self {
@@ -181,15 +180,8 @@
         self
     }
 
-    /// Sets the age at which a best latency may be replaced by a higher one seen at low load.
-    #[must_use]
-    pub fn best_window(mut self, window: Duration) -> Self {
-        self.best_window = window;
-        self
-    }
-
     /// Sets what counts as a silent return to cold: first tokens in a row at low load whose
-    /// latency is `factor` times the best.
+    /// latency is `factor` times the usual one.
     #[must_use]
     pub fn silent_cold(mut self, factor: f64, samples: u32) -> Self {
         self.silent_factor = factor;
--- a/crates/ebonylug-admission/src/stream.rs
+++ b/crates/ebonylug-admission/src/stream.rs
@@ -22,10 +22,8 @@
     pub(crate) admitted: Instant,
     /// The life of the target in which the attempt was admitted.
     pub(crate) epoch: u64,
-    /// The load just after the admission, with this attempt.
-    pub(crate) load: Load,
-    /// Whether the load was low enough to learn the best latencies from.
-    pub(crate) low: bool,
+    /// The sums over time at the admission, from which the mean load is computed.
+    area: Area,
     /// Whether nothing may run beside this attempt, because it may crash the target.
     pub(crate) alone: bool,
     first: Option<Instant>,
@@ -35,6 +33,16 @@
     preempting: bool,
 }
 
+/// The time to the first token of one attempt.
+pub(crate) struct FirstToken {
+    pub(crate) admitted: Instant,
+    pub(crate) time: Duration,
+    pub(crate) prompt: Tokens,
+    pub(crate) cached: Tokens,
+    /// The mean load during the prefill.
+    pub(crate) load: Load,
+}
+
 /// A time between tokens, measured over several tokens.
 pub(crate) struct DecodeSample {
     pub(crate) from: Instant,
@@ -42,7 +50,7 @@
 }
 
 impl Stream {
-    pub(crate) fn new(now: Instant, offer: &Offer, cost: Tokens, load: Load) -> Self {
+    pub(crate) fn new(now: Instant, offer: &Offer, cost: Tokens) -> Self {
         Stream {
             tier: offer.tier,
             cost,
@@ -52,8 +60,7 @@
             repeat: offer.repeat,
             admitted: now,
             epoch: 0,
-            load,
-            low: false,
+            area: Area::default(),
             alone: false,
             first: None,
             delivered: Tokens::ZERO,
@@ -67,16 +74,6 @@
         !self.tier.is_interactive() && self.repeat == Repeat::Yes && !self.preempting
     }
 
-    /// Records the first token; returns the time it took, unless it was recorded before.
-    pub(crate) fn first_token(&mut self, now: Instant) -> Option<Duration> {
-        if self.first.is_some() {
-            return None;
-        }
-        self.first = Some(now);
-        self.mark = now;
-        Some(now.saturating_duration_since(self.admitted))
-    }
-
     /// Returns the tokens that must be computed again if the attempt is cancelled now.
     ///
     /// `expected` is the time that its whole prefill takes, in seconds.
@@ -114,13 +111,18 @@
     preempting: Tokens,
     preemptible: Tokens,
     alone: u32,
+    area: Area,
+    at: Option<Instant>,
 }
 
-impl Streams {
-    pub(crate) fn get_mut(&mut self, attempt: AttemptId) -> Option<&mut Stream> {
-        self.running.get_mut(&attempt)
-    }
+/// The load summed over time, in tokens and streams times seconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Area {
+    tokens: f64,
+    streams: f64,
+}
 
+impl Streams {
     pub(crate) fn contains(&self, attempt: AttemptId) -> bool {
         self.running.contains_key(&attempt)
     }
@@ -141,6 +143,33 @@
         }
     }
 
+    /// Adds the time since the last call to the sums over time.
+    pub(crate) fn advance(&mut self, now: Instant) {
+        let last = self.at.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_duration_since(last).as_secs_f64();
+        self.area.tokens += self.used.as_f64() * elapsed;
+        self.area.streams += self.running.len() as f64 * elapsed;
+    }
+
+    /// Returns the mean load since a stream was admitted, rounded to the nearest integer.
+    ///
+    /// The load at one instant would be misleading: streams that are admitted or end together see
+    /// a low load, although the target was full for most of the time.
+    fn mean_load(&self, now: Instant, stream: &Stream) -> Load {
+        let elapsed = now.saturating_duration_since(stream.admitted).as_secs_f64();
+        if elapsed == 0.0 {
+            return Load {
+                tokens: stream.cost,
+                streams: 1,
+            };
+        }
+        let mean = |now: f64, then: f64| ((now - then) / elapsed).round();
+        Load {
+            tokens: Tokens(mean(self.area.tokens, stream.area.tokens) as u64),
+            streams: mean(self.area.streams, stream.area.streams) as u32,
+        }
+    }
+
     /// Returns the work that stays when the cancelled streams have ended.
     pub(crate) fn active(&self) -> Tokens {
         self.used - self.preempting
@@ -165,7 +194,8 @@
         self.alone > 0
     }
 
-    pub(crate) fn insert(&mut self, attempt: AttemptId, stream: Stream) {
+    pub(crate) fn insert(&mut self, attempt: AttemptId, mut stream: Stream) {
+        stream.area = self.area;
         self.used += stream.cost;
         if stream.is_preemptible() {
             self.preemptible += stream.cost;
@@ -199,6 +229,25 @@
         }
     }
 
+    /// Records the first token of an attempt, unless it was recorded before.
+    pub(crate) fn first_token(&mut self, now: Instant, attempt: AttemptId) -> Option<FirstToken> {
+        let stream = self.running.get(&attempt)?;
+        if stream.first.is_some() {
+            return None;
+        }
+        let sample = FirstToken {
+            admitted: stream.admitted,
+            time: now.saturating_duration_since(stream.admitted),
+            prompt: stream.prompt,
+            cached: stream.cached,
+            load: self.mean_load(now, stream),
+        };
+        let stream = self.running.get_mut(&attempt)?;
+        stream.first = Some(now);
+        stream.mark = now;
+        Some(sample)
+    }
+
     /// Records output tokens. With `grow`, output beyond the estimate raises the cost.
     pub(crate) fn progress(
         &mut self,
--- /dev/null
+++ b/crates/ebonylug-admission/tests/crash.rs
@@ -0,0 +1,214 @@
+//! Guards against requests that take down target after target, and against quarantine of requests
+//! that only ran beside them.
+
+mod support;
+
+use ebonylug_admission::{Admission, CrashId, CrashLog, Settings, Verdict};
+use ebonylug_core::{End, EngineReport, Fingerprint, Incarnation, Reason, Tier};
+use proptest::prelude::*;
+use support::{INCARNATION, id, offer, reason, warm};
+
+use Verdict::{Clear, Quarantined, Suspect};
+
+fn crash(incarnation: u64, epoch: u64) -> CrashId {
+    CrashId {
+        incarnation: Incarnation(incarnation),
+        epoch,
+    }
+}
+
+fn log(crashes: &[&[u64]]) -> CrashLog {
+    let mut log = CrashLog::new();
+    for (epoch, in_flight) in (1..).zip(crashes) {
+        log.record(crash(1, epoch), in_flight.iter().map(|f| Fingerprint(*f)));
+    }
+    log
+}
+
+#[test]
+fn verdicts() {
+    type Row<'a> = (&'a [&'a [u64]], &'a [(u64, Verdict)]);
+    let table: &[Row] = &[
+        (&[], &[(1, Clear)]),
+        (&[&[1]], &[(1, Suspect), (2, Clear)]),
+        (&[&[1], &[1]], &[(1, Quarantined)]),
+        (&[&[1, 2], &[1]], &[(1, Quarantined), (2, Clear)]),
+        (
+            &[&[1, 2, 3], &[1, 4, 5]],
+            &[(1, Quarantined), (2, Clear), (5, Clear)],
+        ),
+        // Two that always run together cannot be told apart until one runs alone.
+        (&[&[1, 2], &[1, 2]], &[(1, Suspect), (2, Suspect)]),
+        (&[&[1, 2], &[1, 2], &[2]], &[(1, Clear), (2, Quarantined)]),
+        // A frequent request beside two different bad ones.
+        (
+            &[&[1, 9], &[1], &[1], &[2, 9], &[2], &[2]],
+            &[(1, Quarantined), (2, Quarantined), (9, Clear)],
+        ),
+        (&[&[1, 2], &[3, 4]], &[(1, Suspect), (4, Suspect)]),
+    ];
+    for (crashes, expected) in table {
+        let log = log(crashes);
+        for (fingerprint, verdict) in *expected {
+            assert_eq!(
+                log.verdict(Fingerprint(*fingerprint)),
+                *verdict,
+                "{fingerprint} {crashes:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn clearing_and_release() {
+    let mut cleared = log(&[&[1, 2]]);
+    cleared.clear(Fingerprint(1));
+    assert_eq!(cleared.verdict(Fingerprint(1)), Clear);
+    assert_eq!(cleared.verdict(Fingerprint(2)), Suspect);
+
+    let mut bad = log(&[&[1], &[1]]);
+    bad.clear(Fingerprint(1));
+    assert_eq!(
+        bad.verdict(Fingerprint(1)),
+        Quarantined,
+        "a run does not release"
+    );
+    let before = bad.clone();
+    bad.release(Fingerprint(1));
+    assert_eq!(bad.verdict(Fingerprint(1)), Clear);
+    bad.merge(&before);
+    assert_eq!(
+        bad.verdict(Fingerprint(1)),
+        Clear,
+        "a late copy does not undo the release"
+    );
+    bad.record(crash(1, 3), [Fingerprint(1)]);
+    assert_eq!(bad.verdict(Fingerprint(1)), Suspect, "later crashes count");
+}
+
+#[test]
+fn bounded_and_transferable() {
+    let mut log = CrashLog::new();
+    for epoch in 1..=100 {
+        log.record(
+            crash(1, epoch),
+            (0..300).map(|f| Fingerprint(epoch * 1_000 + f)),
+        );
+    }
+    assert_eq!(log.len(), 64);
+    assert!(log.contains(crash(1, 100), Fingerprint(100_255)));
+    assert!(!log.contains(crash(1, 100), Fingerprint(100_256)));
+    let text = serde_json::to_string(&log).unwrap();
+    let copy: CrashLog = serde_json::from_str(&text).unwrap();
+    assert_eq!(copy, log);
+    assert_eq!(copy.verdict(Fingerprint(100_000)), Suspect);
+}
+
+/// The whole way through the sidecar: crash, suspicion, crash alone, quarantine.
+#[test]
+fn a_request_that_crashes_its_target() {
+    let (mut admission, now) = warm(Settings::model(INCARNATION));
+    let send = |a: &mut Admission, number| {
+        let mut bad = offer(1, Tier::interactive(0), 10);
+        bad.attempt.number = number;
+        a.offer(now, bad)
+    };
+    assert!(send(&mut admission, 0).is_admit());
+    assert!(
+        admission
+            .offer(now, offer(2, Tier::batch(0), 10))
+            .is_admit()
+    );
+    // The connections break one after the other, before the target is known to be down.
+    admission.finish(now, id(1, 0), End::Crashed);
+    assert_eq!(admission.crashes().verdict(Fingerprint(2)), Suspect);
+    admission.target_down(now);
+    admission.target_up(now);
+    assert_eq!(admission.crashes().len(), 1);
+    assert!(send(&mut admission, 1).is_admit());
+    // The restart shows in the engine's report first; the end belongs to the earlier life.
+    admission.engine_report(
+        now,
+        EngineReport {
+            epoch: 2,
+            ..EngineReport::default()
+        },
+    );
+    admission.engine_report(
+        now,
+        EngineReport {
+            epoch: 3,
+            ..EngineReport::default()
+        },
+    );
+    admission.finish(now, id(1, 1), End::Crashed);
+    assert_eq!(
+        admission.crashes().quarantined().collect::<Vec<_>>(),
+        [Fingerprint(1)]
+    );
+    assert_eq!(admission.crashes().verdict(Fingerprint(2)), Clear);
+    assert_eq!(reason(&send(&mut admission, 2)), Some(Reason::Quarantined));
+    admission.release(Fingerprint(1));
+    assert!(send(&mut admission, 3).is_admit());
+}
+
+/// One step of a process: what it saw itself, or an operator's order.
+#[derive(Clone, Debug)]
+enum Step {
+    Record(Vec<u64>),
+    Clear(u64),
+    Release(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => prop::collection::vec(0_u64..6, 1..4).prop_map(Step::Record),
+        1 => (0_u64..6).prop_map(Step::Clear),
+        1 => (0_u64..6).prop_map(Step::Release),
+    ];
+    prop::collection::vec(step, 0..6)
+}
+
+fn process(number: u64, start: &CrashLog, steps: &[Step]) -> CrashLog {
+    let mut log = start.clone();
+    for (epoch, step) in (1..).zip(steps) {
+        match step {
+            Step::Record(f) => log.record(crash(number, epoch), f.iter().map(|f| Fingerprint(*f))),
+            Step::Clear(f) => log.clear(Fingerprint(*f)),
+            Step::Release(f) => log.release(Fingerprint(*f)),
+        }
+    }
+    log
+}
+
+fn joined(logs: &[&CrashLog]) -> CrashLog {
+    let mut all = CrashLog::new();
+    for log in logs {
+        all.merge(log);
+    }
+    all
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        rng_seed: prop::test_runner::RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Processes that exchange logs in different orders must reach the same verdicts.
+    #[test]
+    fn merging_is_order_free(start in steps(), a in steps(), b in steps(), c in steps()) {
+        let start = process(9, &CrashLog::new(), &start);
+        let [a, b, c] = [(1, &a), (2, &b), (3, &c)].map(|(n, steps)| process(n, &start, steps));
+        let all = joined(&[&a, &b, &c]);
+        prop_assert_eq!(&all, &joined(&[&c, &b, &a]));
+        prop_assert_eq!(&all, &joined(&[&a, &joined(&[&c, &b])]));
+        let mut again = all.clone();
+        prop_assert!(!again.merge(&b));
+        for f in (0..6).map(Fingerprint) {
+            prop_assert_eq!(all.verdict(f), joined(&[&c, &a, &b, &a]).verdict(f));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-admission/tests/limit.rs
@@ -0,0 +1,315 @@
+//! Guards against a limit that overloads its target, one that starves it, and a cold target that
+//! is treated as warm.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use ebonylug_admission::{Admission, Settings};
+use ebonylug_core::{End, EngineReport, Reason, Tier, Tokens};
+use support::{INCARNATION, id, ms, offer, reason};
+
+const STEP: Duration = ms(1);
+
+/// A target that shares its speed between its streams above `capacity` tokens (processor sharing).
+struct Engine {
+    admission: Admission,
+    now: Instant,
+    capacity: u64,
+    /// Time for each prompt token at low load.
+    pace: Duration,
+    /// Request, cost, and tokens left to compute.
+    running: Vec<(u128, u64, f64)>,
+    next: u128,
+    peak: u64,
+}
+
+impl Engine {
+    fn new(settings: Settings, capacity: u64, pace: Duration) -> Self {
+        let now = Instant::now();
+        let mut admission = Admission::new(settings, now);
+        admission.target_up(now);
+        Engine {
+            admission,
+            now,
+            capacity,
+            pace,
+            running: Vec::new(),
+            next: 0,
+            peak: 0,
+        }
+    }
+
+    fn used(&self) -> u64 {
+        self.running.iter().map(|(_, cost, _)| cost).sum()
+    }
+
+    fn send(&mut self, cost: u64) -> bool {
+        self.next += 1;
+        let admitted = self
+            .admission
+            .offer(self.now, offer(self.next, Tier::batch(0), cost))
+            .is_admit();
+        if admitted {
+            self.running.push((self.next, cost, cost as f64));
+            self.peak = self.peak.max(self.used());
+        }
+        admitted
+    }
+
+    /// Runs for a time; with `keep`, that many requests of 100 tokens are kept at the target.
+    fn run(&mut self, time: Duration, keep: usize) {
+        let until = self.now + time;
+        while self.now < until {
+            while self.running.len() < keep && self.send(100) {}
+            self.now += STEP;
+            let share = (self.used() as f64 / self.capacity as f64).max(1.0);
+            let progress = STEP.as_secs_f64() / self.pace.as_secs_f64() / share;
+            self.running.iter_mut().for_each(|r| r.2 -= progress);
+            let done: Vec<_> = self.running.extract_if(.., |r| r.2 <= 0.0).collect();
+            for (request, ..) in done {
+                self.admission.first_token(self.now, id(request, 0));
+                self.admission
+                    .finish(self.now, id(request, 0), End::Answered);
+            }
+            self.admission.tick(self.now);
+        }
+    }
+
+    /// Runs one request alone, whose first token takes `factor` times as long as usual.
+    fn one(&mut self, cost: u64, cached: u64, factor: u32) {
+        self.next += 1;
+        let mut request = offer(self.next, Tier::interactive(0), cost);
+        request.cached = Tokens(cached);
+        assert!(self.admission.offer(self.now, request).is_admit());
+        self.now += self.pace * cost as u32 * factor;
+        self.admission.first_token(self.now, id(self.next, 0));
+        self.admission
+            .finish(self.now, id(self.next, 0), End::Answered);
+    }
+
+    fn limit(&self) -> u64 {
+        self.admission.report(self.now).limit.0
+    }
+
+    fn is_cold(&self) -> bool {
+        self.admission.report(self.now).cold
+    }
+}
+
+fn settings() -> Settings {
+    Settings::model(INCARNATION)
+        .cold_limit(Tokens(400))
+        .cold_streams(4)
+        .limits(Tokens(400), Tokens(1_000_000))
+        .step(Tokens(200))
+        .warm_after(8, ms(1_000))
+        .retention(ms(1_000))
+}
+
+/// Speeds are discovered: the limit settles near what the target handles, whatever its speed, and
+/// follows when the target handles less.
+#[test]
+fn the_limit_follows_the_target() {
+    for (capacity, pace) in [(2_000, 100), (8_000, 100), (8_000, 400), (30_000, 1_000)] {
+        let mut engine = Engine::new(settings(), capacity, Duration::from_micros(pace));
+        engine.run(Duration::from_secs(30), 2_000);
+        let settled = engine.limit();
+        assert!(
+            (capacity..4 * capacity).contains(&settled),
+            "{capacity} {pace}: {settled}"
+        );
+        engine.capacity = capacity / 4;
+        engine.run(Duration::from_secs(20), 2_000);
+        let fallen = engine.limit();
+        assert!(
+            (capacity / 4..capacity).contains(&fallen),
+            "{capacity} {pace}: {fallen}"
+        );
+    }
+}
+
+#[test]
+fn slow_start_doubles_only_while_it_is_used() {
+    let mut engine = Engine::new(settings(), 1_000_000, ms(1));
+    engine.run(ms(2_000), 1_000);
+    assert!(!engine.is_cold());
+    let mut limits = vec![engine.limit()];
+    for _ in 0..3 {
+        engine.run(ms(510), 10_000);
+        limits.push(engine.limit());
+    }
+    assert!(limits.windows(2).all(|w| w[1] == 2 * w[0]), "{limits:?}");
+    engine.run(ms(1_000), 0);
+    let before = engine.limit();
+    engine.run(Duration::from_secs(20), 3);
+    assert_eq!(engine.limit(), before, "an unused limit does not grow");
+}
+
+/// The load exceeds what a cold target handles by at most one request, until it is warm.
+#[test]
+fn cold_start() {
+    for capacity in [400, 1_000, 3_000] {
+        let cold = settings().warm_after(u32::MAX, ms(0)).tolerance(1.01, 1.5);
+        let mut engine = Engine::new(cold, capacity, ms(1));
+        assert!((0..4).all(|_| engine.send(100)));
+        assert!(
+            !engine.send(100),
+            "nothing above the cold limit before the first answer"
+        );
+        engine.run(Duration::from_secs(15), 1_000);
+        assert!(engine.is_cold());
+        assert!(
+            (capacity..=capacity + 100).contains(&engine.peak),
+            "{capacity}: {}",
+            engine.peak
+        );
+    }
+}
+
+#[test]
+fn failures_in_a_cold_start_lower_the_limit() {
+    let mut engine = Engine::new(settings().warm_after(u32::MAX, ms(0)), 1_000_000, ms(1));
+    engine.run(ms(2_000), 1_000);
+    let before = engine.limit();
+    assert!(engine.send(100));
+    engine
+        .admission
+        .finish(engine.now, id(engine.next, 0), End::Failed);
+    assert!(engine.limit() < before);
+}
+
+/// A target that is offered only large requests must not stay cold for ever.
+#[test]
+fn a_cold_target_gets_one_large_request_after_a_while() {
+    let mut engine = Engine::new(settings().cold_probe(ms(2_000)), 10_000, ms(1));
+    assert!(!engine.send(5_000));
+    engine.run(ms(2_000), 0);
+    assert!(engine.send(5_000));
+    assert!(!engine.send(5_000));
+    assert!(!engine.send(1));
+    assert!(
+        engine.admission.tick(engine.now).is_empty(),
+        "the probe is not preempted"
+    );
+}
+
+enum Sign {
+    Report(EngineReport),
+    /// Requests alone at the target: tokens, cached tokens, slowness of the first token.
+    Alone(&'static [(u64, u64, u32)]),
+    SlowAtHighLoad,
+}
+
+#[test]
+fn silent_return_to_cold() {
+    use Sign::{Alone, Report, SlowAtHighLoad};
+    let base = EngineReport {
+        epoch: 3,
+        hits: 50,
+        prefilled: 900,
+        ..EngineReport::default()
+    };
+    let table = [
+        ("same counters", false, Report(base)),
+        (
+            "other epoch",
+            true,
+            Report(EngineReport { epoch: 4, ..base }),
+        ),
+        ("hits fall", true, Report(EngineReport { hits: 49, ..base })),
+        (
+            "prefilled falls",
+            true,
+            Report(EngineReport {
+                prefilled: 1,
+                ..base
+            }),
+        ),
+        ("slow first tokens", true, Alone(&[(100, 0, 20); 3])),
+        ("two slow first tokens", false, Alone(&[(100, 0, 20); 2])),
+        (
+            "not in a row",
+            false,
+            Alone(&[(100, 0, 20), (100, 0, 20), (100, 0, 1), (100, 0, 20)]),
+        ),
+        (
+            "wrong guess of the cached part",
+            false,
+            Alone(&[(100, 3_000, 31); 3]),
+        ),
+        ("slow at high load", false, SlowAtHighLoad),
+    ];
+    for (name, expected, sign) in table {
+        let mut engine = Engine::new(settings(), 1_000_000, ms(1));
+        engine.admission.engine_report(engine.now, base);
+        engine.run(ms(3_000), 1_000);
+        engine.run(ms(1_000), 0);
+        engine.one(100, 0, 1);
+        assert!(!engine.is_cold());
+        match sign {
+            Report(report) => engine.admission.engine_report(engine.now, report),
+            Alone(requests) => requests.iter().for_each(|r| engine.one(r.0, r.1, r.2)),
+            SlowAtHighLoad => {
+                engine.pace *= 20;
+                engine.run(ms(4_100), 10_000);
+            }
+        }
+        assert_eq!(engine.is_cold(), expected, "{name}");
+        assert!(
+            !expected || engine.limit() == 400,
+            "{name}: {}",
+            engine.limit()
+        );
+    }
+}
+
+/// Work that is already inside a target when it turns cold is taken out if it can be repeated.
+#[test]
+fn batch_work_leaves_a_target_that_turned_cold() {
+    let mut engine = Engine::new(settings(), 1_000_000, ms(1));
+    engine.run(ms(3_000), 1_000);
+    engine.run(ms(1_000), 0);
+    (0..10).for_each(|_| assert!(engine.send(100)));
+    engine.admission.engine_report(
+        engine.now,
+        EngineReport {
+            epoch: 1,
+            ..EngineReport::default()
+        },
+    );
+    engine.admission.engine_report(
+        engine.now,
+        EngineReport {
+            epoch: 2,
+            ..EngineReport::default()
+        },
+    );
+    assert_eq!(
+        engine.admission.tick(engine.now).len(),
+        5,
+        "1,000 tokens to 400 and one request"
+    );
+    let urgent = engine
+        .admission
+        .offer(engine.now, offer(9_999, Tier::interactive(0), 200));
+    assert_eq!(reason(&urgent), Some(Reason::Cold));
+    assert_eq!(
+        engine.admission.tick(engine.now).len(),
+        3,
+        "room for the reservation"
+    );
+}
+
+#[test]
+fn a_service_is_bounded_by_its_concurrency() {
+    let settings = Settings::service(INCARNATION, 12)
+        .warm_after(3, ms(0))
+        .cold_probe(ms(0));
+    let mut engine = Engine::new(settings, 1_000, ms(1));
+    assert!(engine.send(100));
+    assert!(!engine.send(100), "one call at a time in a cold start");
+    engine.run(Duration::from_secs(20), 50);
+    assert_eq!(engine.limit(), 12);
+    assert_eq!(engine.running.len(), 12);
+}
