--- a/crates/ebonylug-admission/src/admission.rs
+++ b/crates/ebonylug-admission/src/admission.rs
@@ -197,6 +197,7 @@
             self.finish(now, attempt, End::Crashed);
         }
         self.reservations.clear();
+        self.cool(now);
     }
 
     /// Records that the target came up. It is cold.
--- a/crates/ebonylug-admission/src/stream.rs
+++ b/crates/ebonylug-admission/src/stream.rs
@@ -10,6 +10,9 @@
 /// Single gaps are useless: tokens that were buffered together arrive at the same instant.
 const DECODE_SPAN: u64 = 16;
 
+/// Errors of the sums over time that must not be rounded up.
+const ROUNDING: f64 = 1e-6;
+
 /// An attempt that runs inside the target.
 #[derive(Debug)]
 pub(crate) struct Stream {
@@ -151,7 +154,7 @@
         self.area.streams += self.running.len() as f64 * elapsed;
     }
 
-    /// Returns the mean load since a stream was admitted, rounded to the nearest integer.
+    /// Returns the mean load since a stream was admitted, rounded up.
     ///
     /// The load at one instant would be misleading: streams that are admitted or end together see
     /// a low load, although the target was full for most of the time.
@@ -163,7 +166,7 @@
                 streams: 1,
             };
         }
-        let mean = |now: f64, then: f64| ((now - then) / elapsed).round();
+        let mean = |now: f64, then: f64| ((now - then) / elapsed - ROUNDING).ceil();
         Load {
             tokens: Tokens(mean(self.area.tokens, stream.area.tokens) as u64),
             streams: mean(self.area.streams, stream.area.streams) as u32,
