--- a/crates/ebonylug-entry/src/attempt.rs
+++ b/crates/ebonylug-entry/src/attempt.rs
@@ -149,7 +149,7 @@
                     }
                 }
                 Err(error) => {
-                    tracing::warn!(attempt = %offer.attempt, %error, "entry: sidecar does not answer")
+                    tracing::warn!(attempt = %offer.attempt, %error, "entry: sidecar does not answer");
                 }
             }
             tokio::time::sleep(pause).await;
--- a/crates/ebonylug-entry/src/peers.rs
+++ b/crates/ebonylug-entry/src/peers.rs
@@ -31,9 +31,12 @@
     own: Name,
     incarnation: Incarnation,
     key: SharedKey,
-    links: Mutex<HashMap<Name, (Box<str>, Arc<EntryLink>)>>,
+    links: Mutex<Links>,
 }
 
+/// Links with the control addresses that they were made for.
+type Links = HashMap<Name, (Box<str>, Arc<EntryLink>)>;
+
 impl Peers {
     /// Creates the state of an entry that knows no others.
     pub fn new(own: Name, incarnation: Incarnation, key: SharedKey) -> Self {
--- a/crates/ebonylug-net/src/serve.rs
+++ b/crates/ebonylug-net/src/serve.rs
@@ -79,7 +79,7 @@
         Ok(Server {
             address,
             handle: Some(xitca_handle::Handle(Box::new(move |graceful| {
-                handle.stop(graceful)
+                handle.stop(graceful);
             }))),
         })
     }
--- a/crates/ebonylug-sidecar/src/lib.rs
+++ b/crates/ebonylug-sidecar/src/lib.rs
@@ -243,10 +243,11 @@
     loop {
         let up = target::is_up(settings.address).await;
         core.set_up(up);
-        if up && settings.kind == Kind::Model {
-            if let Some(report) = load(&client, settings.address).await {
-                core.engine_report(report);
-            }
+        if up
+            && settings.kind == Kind::Model
+            && let Some(report) = load(&client, settings.address).await
+        {
+            core.engine_report(report);
         }
         tokio::time::sleep(PROBE_INTERVAL).await;
     }
--- a/crates/ebonylug-sidecar/src/target.rs
+++ b/crates/ebonylug-sidecar/src/target.rs
@@ -86,7 +86,7 @@
                 Step::Ended(ended) => return ended,
                 Step::Silent if !self.can_resume(call) => break,
                 Step::Silent => {
-                    tracing::warn!(attempt = %call.attempt, tokens = *tokens, "target: connection is silent")
+                    tracing::warn!(attempt = %call.attempt, tokens = *tokens, "target: connection is silent");
                 }
             }
         }
