--- a/crates/ebonylug-demo/src/lib.rs
+++ b/crates/ebonylug-demo/src/lib.rs
@@ -5,9 +5,14 @@
 
 mod client;
 mod deployment;
+mod load;
+pub mod story;
+mod verdict;
 
 pub use client::{Answer, Caller};
 pub use deployment::{Deployment, Error, Fake, Node, OPERATOR_TOKEN, Plan, Result};
+pub use load::{Call, Load, Record, Seen, Stream};
+pub use verdict::{Verdict, judge, runs, summary};
 
 /// The sample configuration of the fibras division.
 pub const FIBRAS: &str = include_str!("../../../examples/fibras/resources.json5");
--- a/crates/ebonylug-entry/src/attempt.rs
+++ b/crates/ebonylug-entry/src/attempt.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 
 use ebonylug_core::{Clock, End, Offer, Outcome, Reason, Refusal, Revoked};
+use ebonylug_events::Stamp;
 use ebonylug_net::client::{self, Client};
 use ebonylug_net::frame::{Frame, Reader, Tail};
 use ebonylug_net::key::SharedKey;
@@ -83,50 +84,61 @@
     /// The outcome is `Refused` only if it is proven that the request was not run. When a connection
     /// breaks or goes silent, the sidecar is asked over a new one: an attempt that it has not seen is
     /// revoked, and the answer of one that it runs is resumed from the byte where it broke off.
-    pub async fn run(&self, offer: &Offer, call: &Call, sink: &mut Sink) -> Outcome {
-        let mut offset = 0;
-        let mut step = self.dispatch(offer, call, sink, &mut offset).await;
+    pub async fn run(&self, offer: &Offer, call: &Call, sent: Stamp, sink: &mut Sink) -> Outcome {
+        let mut run = Run {
+            peer: self,
+            offer,
+            sink,
+            offset: 0,
+        };
+        let mut step = run.dispatch(call, sent).await;
         loop {
             step = match step {
                 Step::Done(outcome) => return outcome,
-                Step::HungUp => return self.abandon(offer).await,
-                Step::Broken => self.settle(offer, sink, &mut offset).await,
+                Step::HungUp => return run.abandon().await,
+                Step::Broken => run.settle().await,
             };
         }
     }
 
-    async fn dispatch(
-        &self,
-        offer: &Offer,
-        call: &Call,
-        sink: &mut Sink,
-        offset: &mut u64,
-    ) -> Step {
+    fn uri(&self, path: &str) -> http::Uri {
+        let uri = format!("http://{}{path}", self.data);
+        uri.parse().expect("an address and a path make a URI")
+    }
+}
+
+/// An attempt under way.
+struct Run<'a> {
+    peer: &'a Peer,
+    offer: &'a Offer,
+    sink: &'a mut Sink,
+    /// Bytes of the answer's body that have arrived.
+    offset: u64,
+}
+
+impl Run<'_> {
+    async fn dispatch(&mut self, call: &Call, sent: Stamp) -> Step {
         let mut request = Request::new(Full::new(call.body.clone()));
         *request.method_mut() = Method::POST;
-        *request.uri_mut() = self.uri("/dispatch");
+        *request.uri_mut() = self.peer.uri("/dispatch");
         *request.headers_mut() = call.headers.clone();
         let headers = request.headers_mut();
-        headers.insert(wire::OFFER, wire::offer_header(offer));
+        headers.insert(wire::OFFER, wire::offer_header(self.offer));
+        headers.insert(wire::STAMP, value(&sent.to_string()));
         headers.insert(wire::METHOD, value(call.method.as_str()));
         headers.insert(wire::PATH, value(&call.path));
-        headers.insert(header::AUTHORIZATION, self.bearer.clone());
-        match self.client.send(request, ADMISSION_TIMEOUT).await {
-            Ok(response) => self.receive(response, sink, offset).await,
+        headers.insert(header::AUTHORIZATION, self.peer.bearer.clone());
+        match self.peer.client.send(request, ADMISSION_TIMEOUT).await {
+            Ok(response) => self.receive(response).await,
             Err(client::Error::Connect) => Step::Done(not_run(Reason::Down)),
             Err(_) => Step::Broken,
         }
     }
 
-    async fn receive(
-        &self,
-        response: Response<Incoming>,
-        sink: &mut Sink,
-        offset: &mut u64,
-    ) -> Step {
+    async fn receive(&mut self, response: Response<Incoming>) -> Step {
         match response.status() {
-            StatusCode::OK => read(response.into_body(), sink, offset, &*self.clock).await,
-            StatusCode::CONFLICT => refused(response.into_body()).await,
+            StatusCode::OK => self.read(response.into_body()).await,
+            StatusCode::CONFLICT => refused(response.into_body(), self.sink).await,
             // It has run, and its answer is no longer retained.
             StatusCode::GONE => Step::Done(Outcome::Failed),
             // Rejected before it reached admission.
@@ -136,20 +148,23 @@
     }
 
     /// Finds out what became of an attempt whose connection broke.
-    async fn settle(&self, offer: &Offer, sink: &mut Sink, offset: &mut u64) -> Step {
+    async fn settle(&mut self) -> Step {
         let mut pause = SETTLE_PAUSE;
         for _ in 0..SETTLE_TRIES {
-            match self.link.revoke(offer.attempt, offer.incarnation).await {
+            let revoked = self
+                .peer
+                .link
+                .revoke(self.offer.attempt, self.offer.incarnation)
+                .await;
+            match revoked {
                 Ok(Revoked::NotRun) => return Step::Done(not_run(Reason::Revoked)),
                 Ok(Revoked::Unknown) => return Step::Done(Outcome::Unknown),
-                Ok(Revoked::Running | Revoked::Finished) => {
-                    match self.resume(offer, sink, offset).await {
-                        Step::Broken => {}
-                        step => return step,
-                    }
-                }
+                Ok(Revoked::Running | Revoked::Finished) => match self.resume().await {
+                    Step::Broken => {}
+                    step => return step,
+                },
                 Err(error) => {
-                    tracing::warn!(attempt = %offer.attempt, %error, "entry: sidecar does not answer");
+                    tracing::warn!(attempt = %self.offer.attempt, %error, "entry: sidecar does not answer");
                 }
             }
             tokio::time::sleep(pause).await;
@@ -158,16 +173,21 @@
         Step::Done(Outcome::Unknown)
     }
 
-    async fn resume(&self, offer: &Offer, sink: &mut Sink, offset: &mut u64) -> Step {
-        let path = format!("/attempts/{}?offset={}", offer.attempt, offset);
+    async fn resume(&mut self) -> Step {
+        let path = format!("/attempts/{}?offset={}", self.offer.attempt, self.offset);
         let mut request = Request::new(Full::default());
-        *request.uri_mut() = self.uri(&path);
+        *request.uri_mut() = self.peer.uri(&path);
         request
             .headers_mut()
-            .insert(header::AUTHORIZATION, self.bearer.clone());
-        match self.client.send_fresh(request, ADMISSION_TIMEOUT).await {
+            .insert(header::AUTHORIZATION, self.peer.bearer.clone());
+        match self
+            .peer
+            .client
+            .send_fresh(request, ADMISSION_TIMEOUT)
+            .await
+        {
             Ok(response) if response.status() == StatusCode::OK => {
-                read(response.into_body(), sink, offset, &*self.clock).await
+                self.read(response.into_body()).await
             }
             // The answer is no longer retained.
             Ok(_) => Step::Done(Outcome::Failed),
@@ -175,81 +195,86 @@
         }
     }
 
-    async fn abandon(&self, offer: &Offer) -> Outcome {
-        if let Err(error) = self.link.cancel(offer.attempt).await {
-            tracing::debug!(attempt = %offer.attempt, %error, "entry: cancel was not answered");
+    /// Reads frames until the answer ends or the connection breaks.
+    async fn read(&mut self, mut body: Incoming) -> Step {
+        let mut reader = Reader::new();
+        loop {
+            match reader.next() {
+                Ok(Some(frame)) => {
+                    if let Some(step) = self.pass(frame).await {
+                        return step;
+                    }
+                    continue;
+                }
+                Ok(None) => {}
+                Err(error) => {
+                    tracing::warn!(%error, "entry: frames cannot be read");
+                    return Step::Broken;
+                }
+            }
+            match tokio::time::timeout(SILENCE_TIMEOUT, body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    if let Some(data) = frame.data_ref() {
+                        reader.push(data);
+                    }
+                }
+                // An answer without a tail has broken off, even if the connection was closed cleanly.
+                Ok(Some(Err(_)) | None) | Err(_) => return Step::Broken,
+            }
+            if self.sink.is_closed() {
+                return Step::HungUp;
+            }
         }
-        Outcome::Failed
-    }
-
-    fn uri(&self, path: &str) -> http::Uri {
-        let uri = format!("http://{}{path}", self.data);
-        uri.parse().expect("an address and a path make a URI")
     }
-}
 
-/// Reads frames until the answer ends or the connection breaks.
-async fn read(mut body: Incoming, sink: &mut Sink, offset: &mut u64, clock: &dyn Clock) -> Step {
-    let mut reader = Reader::new();
-    loop {
-        match reader.next() {
-            Ok(Some(frame)) => {
-                if let Some(step) = pass(frame, sink, offset, clock).await {
-                    return step;
-                }
-                continue;
+    async fn pass(&mut self, frame: Frame) -> Option<Step> {
+        let passed = match frame {
+            Frame::NotRun(Refused {
+                refusal,
+                report,
+                stamp,
+            }) => {
+                self.sink.observe(stamp);
+                return Some(Step::Done(Outcome::Refused(refusal, Some(report))));
             }
-            Ok(None) => {}
-            Err(error) => {
-                tracing::warn!(%error, "entry: frames cannot be read");
-                return Step::Broken;
+            Frame::Tail(tail) => {
+                self.sink.observe(tail.stamp);
+                self.sink.count(tail.tokens);
+                return Some(Step::Done(self.outcome(tail)));
             }
-        }
-        match tokio::time::timeout(SILENCE_TIMEOUT, body.frame()).await {
-            Ok(Some(Ok(frame))) => {
-                if let Some(data) = frame.data_ref() {
-                    reader.push(data);
-                }
+            Frame::KeepAlive => Ok(()),
+            Frame::Head(head) => self.sink.head(head).await,
+            Frame::Data(data) => {
+                self.offset += data.len() as u64;
+                self.sink.data(self.peer.clock.now(), data).await
             }
-            // An answer without a tail has broken off, even if the connection was closed cleanly.
-            Ok(Some(Err(_)) | None) | Err(_) => return Step::Broken,
-        }
-        if sink.is_closed() {
-            return Step::HungUp;
+        };
+        match passed {
+            Ok(()) => None,
+            Err(HungUp) => Some(Step::HungUp),
         }
     }
-}
 
-async fn pass(frame: Frame, sink: &mut Sink, offset: &mut u64, clock: &dyn Clock) -> Option<Step> {
-    let passed = match frame {
-        Frame::NotRun(Refused { refusal, report }) => {
-            return Some(Step::Done(Outcome::Refused(refusal, Some(report))));
+    fn outcome(&self, tail: Tail) -> Outcome {
+        match tail.end {
+            End::Answered => Outcome::Answered,
+            End::Cancelled if tail.preempted => Outcome::Preempted {
+                // The tail counts the tokens of the whole request, the router those of an attempt.
+                received: tail.tokens.saturating_sub(self.offer.offset),
+            },
+            End::Cancelled | End::Failed | End::Crashed => Outcome::Failed,
         }
-        Frame::Tail(tail) => return Some(Step::Done(outcome(tail))),
-        Frame::KeepAlive => Ok(()),
-        Frame::Head(head) => sink.head(head).await,
-        Frame::Data(data) => {
-            *offset += data.len() as u64;
-            sink.data(clock.now(), data).await
-        }
-    };
-    match passed {
-        Ok(()) => None,
-        Err(HungUp) => Some(Step::HungUp),
     }
-}
 
-fn outcome(tail: Tail) -> Outcome {
-    match tail.end {
-        End::Answered => Outcome::Answered,
-        End::Cancelled if tail.preempted => Outcome::Preempted {
-            received: tail.tokens,
-        },
-        End::Cancelled | End::Failed | End::Crashed => Outcome::Failed,
+    async fn abandon(&self) -> Outcome {
+        if let Err(error) = self.peer.link.cancel(self.offer.attempt).await {
+            tracing::debug!(attempt = %self.offer.attempt, %error, "entry: cancel was not answered");
+        }
+        Outcome::Failed
     }
 }
 
-async fn refused(body: Incoming) -> Step {
+async fn refused(body: Incoming, sink: &mut Sink) -> Step {
     let body = http_body_util::Limited::new(body, MAX_REFUSAL_BYTES).collect();
     let refused = match tokio::time::timeout(ADMISSION_TIMEOUT, body).await {
         Ok(Ok(body)) => serde_json::from_slice::<Refused>(&body.to_bytes()).ok(),
@@ -257,7 +282,14 @@
     };
     // The status alone proves that the attempt was refused.
     Step::Done(match refused {
-        Some(Refused { refusal, report }) => Outcome::Refused(refusal, Some(report)),
+        Some(Refused {
+            refusal,
+            report,
+            stamp,
+        }) => {
+            sink.observe(stamp);
+            Outcome::Refused(refusal, Some(report))
+        }
         None => not_run(Reason::Full),
     })
 }
--- a/crates/ebonylug-entry/src/caller.rs
+++ b/crates/ebonylug-entry/src/caller.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use tokio::sync::mpsc;
 
@@ -266,7 +267,7 @@
     let stream = resolved.stream;
     let job = Job {
         call: Arc::new(resolved.call.clone()),
-        sink: Sink::new(sender, stream),
+        sink: Sink::new(sender, stream, shared.settings.stall),
         streamed: stream,
     };
     let queued = queued(shared, id, &resolved);
@@ -279,7 +280,7 @@
         key,
         _work: work,
     };
-    answer(id, parts, waiting, shared.settings.stall).await
+    answer(id, parts, waiting).await
 }
 
 fn queued(shared: &Shared, id: RequestId, resolved: &Resolved) -> Queued {
@@ -325,12 +326,7 @@
     }
 }
 
-async fn answer(
-    id: RequestId,
-    mut parts: mpsc::Receiver<Part>,
-    waiting: Waiting,
-    stall: Duration,
-) -> Answer {
+async fn answer(id: RequestId, mut parts: mpsc::Receiver<Part>, waiting: Waiting) -> Answer {
     let head = match parts.recv().await {
         Some(Part::Head(head)) => head,
         Some(Part::Refused(refusal)) => return reply::fate(id, Fate::NotRun(refusal)),
@@ -340,27 +336,68 @@
             return reply::fate(id, Fate::Unknown);
         }
     };
-    let state = (parts, waiting, false);
-    let body = futures_util::stream::unfold(state, move |(mut parts, waiting, ended)| async move {
-        if ended {
-            return None;
-        }
-        let item = match parts.recv().await {
-            Some(Part::Data(data)) => Ok(data),
-            Some(Part::End) => return None,
-            // The connection is broken off, so that the caller does not take the answer for whole.
-            Some(_) | None => Err(std::io::Error::other("the answer is not whole")),
-        };
-        let ended = item.is_err();
-        Some((item, (parts, waiting, ended)))
+    let body = Body {
+        id,
+        parts,
+        events: is_event_stream(&head),
+        ended: false,
+        _waiting: waiting,
+    };
+    let body = futures_util::stream::unfold(body, |mut body| async move {
+        let part = body.next().await?;
+        Some((part, body))
     });
-    let _ = stall;
     let mut answer = serve::streaming(body);
     set_head(&mut answer, &head);
     reply::insert(&mut answer, wire::REQUEST, &id.to_string());
     answer
 }
 
+fn is_event_stream(head: &Head) -> bool {
+    let kind = head
+        .headers
+        .iter()
+        .find(|(name, _)| &**name == "content-type");
+    kind.is_some_and(|(_, kind)| kind.starts_with("text/event-stream"))
+}
+
+/// The body of an answer that is passed on as it arrives.
+struct Body {
+    id: RequestId,
+    parts: mpsc::Receiver<Part>,
+    /// Whether the answer is a stream of events.
+    events: bool,
+    ended: bool,
+    _waiting: Waiting,
+}
+
+impl Body {
+    async fn next(&mut self) -> Option<std::io::Result<Bytes>> {
+        if self.ended {
+            return None;
+        }
+        let fate = match self.parts.recv().await {
+            Some(Part::Data(data)) => return Some(Ok(data)),
+            Some(Part::End) => return None,
+            Some(Part::Failed) => Fate::Failed,
+            Some(Part::Refused(_) | Part::Unknown | Part::Head(_)) | None => Fate::Unknown,
+        };
+        self.ended = true;
+        Some(self.broken(fate))
+    }
+
+    /// States in a last event that the answer is not whole. Other kinds of answers are broken off,
+    /// so that the caller does not take them for whole.
+    fn broken(&self, fate: Fate) -> std::io::Result<Bytes> {
+        if self.events {
+            let event = reply::error_body(fate, Some(self.id));
+            Ok(format!("data: {event}\n\n").into())
+        } else {
+            Err(std::io::Error::other("the answer is not whole"))
+        }
+    }
+}
+
 fn set_head(answer: &mut Answer, head: &Head) {
     *answer.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
     for (name, value) in &head.headers {
--- a/crates/ebonylug-entry/src/dispatcher.rs
+++ b/crates/ebonylug-entry/src/dispatcher.rs
@@ -4,7 +4,9 @@
 
 use tokio::sync::Notify;
 
-use ebonylug_core::{Clock, LoadReport, Name, Offer, Outcome, Reason, Refusal};
+use ebonylug_core::{Clock, LoadReport, Name, Offer, Outcome, Reason, Refusal, Tokens};
+use ebonylug_events::{EventKind, Subject};
+use ebonylug_net::record::Recorder;
 use ebonylug_routing::{Action, Disposition, Request, RequestKey, Router, TargetKey};
 
 use crate::attempt::{Call, Peer};
@@ -33,6 +35,7 @@
     clock: Arc<dyn Clock>,
     current: Arc<Current>,
     moves: Arc<Moves>,
+    recorder: Arc<Recorder>,
     state: Mutex<State>,
     wake: Notify,
     runtime: tokio::runtime::Handle,
@@ -52,6 +55,7 @@
     peer: Arc<Peer>,
     route: Name,
     version: Name,
+    target: Name,
     cold: bool,
 }
 
@@ -62,11 +66,13 @@
         clock: Arc<dyn Clock>,
         current: Arc<Current>,
         moves: Arc<Moves>,
+        recorder: Arc<Recorder>,
     ) -> Self {
         Dispatcher {
             clock,
             current,
             moves,
+            recorder,
             state: Mutex::new(State {
                 router,
                 jobs: HashMap::new(),
@@ -84,10 +90,12 @@
     /// Returns the refusal if the queue does not take the request.
     pub fn enqueue(&self, request: Request, job: Job) -> Result<RequestKey, Refusal> {
         let now = self.clock.now();
+        let subject = Subject::new().request(request.id);
         let mut state = self.lock();
         let key = state.router.enqueue(now, request)?;
         state.jobs.insert(key, job);
         drop(state);
+        self.recorder.record(EventKind::RequestQueued, subject);
         self.wake.notify_one();
         Ok(key)
     }
@@ -149,8 +157,16 @@
                     );
                 }
                 Action::Shed {
-                    request, refusal, ..
-                } => self.end(&mut state, request, Part::Refused(refusal)),
+                    request,
+                    id,
+                    refusal,
+                } => {
+                    let kind = EventKind::Shed {
+                        reason: refusal.reason,
+                    };
+                    self.recorder.record(kind, Subject::new().request(id));
+                    self.end(&mut state, request, Part::Refused(refusal));
+                }
                 Action::Abort { request, .. } => self.end(&mut state, request, Part::Failed),
             }
         }
@@ -184,10 +200,16 @@
 
     async fn attempt(self: Arc<Self>, attempt: Attempt, mut job: Job) {
         job.sink.begin(self.clock.now());
+        let subject = Subject::new()
+            .attempt(attempt.offer.attempt)
+            .target(attempt.target.clone());
+        let sent = self.recorder.record(EventKind::Dispatched, subject.clone());
         let outcome = attempt
             .peer
-            .run(&attempt.offer, &job.call, &mut job.sink)
+            .run(&attempt.offer, &job.call, sent, &mut job.sink)
             .await;
+        self.recorder.observe(job.sink.stamp());
+        self.recorder.record(outcome_event(&outcome), subject);
         let now = self.clock.now();
         self.observe(&attempt, &job.sink, &outcome, now);
         let stopped = matches!(outcome, Outcome::Preempted { .. });
@@ -198,8 +220,12 @@
             outcome
         };
         let part = last_part(&outcome);
+        let output = job.sink.output().filter(|_| outcome == Outcome::Answered);
         let disposition = {
             let mut state = self.lock();
+            if let Some(output) = output {
+                state.learn(attempt.key, output);
+            }
             let disposition = state.router.outcome(now, attempt.offer.attempt, outcome);
             if matches!(disposition, Disposition::Requeued | Disposition::Shed) {
                 state.jobs.insert(attempt.key, job);
@@ -252,6 +278,14 @@
 }
 
 impl State {
+    /// Notes the length of an answer, by which the work of later requests is estimated.
+    fn learn(&mut self, key: RequestKey, output: u64) {
+        if let Some(request) = self.router.request(key) {
+            let (organisation, route) = (request.organisation, request.route);
+            self.router.learn(organisation, route, Tokens(output));
+        }
+    }
+
     fn attempt(&self, key: RequestKey, target: TargetKey, offer: &Offer) -> Option<Attempt> {
         let route = self.router.request(key)?.route;
         let version = self.router.target(target)?.version;
@@ -261,11 +295,26 @@
             peer: Arc::clone(self.peers.get(&target)?),
             route: self.router.route_name(route).clone(),
             version: self.router.version_name(version).clone(),
+            target: self.router.target(target)?.name.clone(),
             cold: self.router.is_cold(target),
         })
     }
 }
 
+fn outcome_event(outcome: &Outcome) -> EventKind {
+    match outcome {
+        Outcome::Refused(refusal, _) => EventKind::Refused {
+            reason: refusal.reason,
+        },
+        Outcome::Answered => EventKind::Answered,
+        Outcome::Preempted { received } => EventKind::Preempted {
+            received: *received,
+        },
+        Outcome::Failed => EventKind::Failed,
+        Outcome::Unknown => EventKind::Unknown,
+    }
+}
+
 fn last_part(outcome: &Outcome) -> Part {
     match outcome {
         Outcome::Answered => Part::End,
--- /dev/null
+++ b/crates/ebonylug-entry/src/driver.rs
@@ -0,0 +1,184 @@
+//! Advances moves: the shares at once, the status and the end of a move under the lease.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use ebonylug_core::Fence;
+use ebonylug_events::{EventKind, Subject};
+use ebonylug_moves::{Actions, MoveAction, MoveSpec, MoveStatus, Phase, Share, StoreState};
+use ebonylug_platform::{Expect, Table, Transaction};
+use ebonylug_resource::{Change, Expected, MoveState, Resource, RouteSpec};
+
+use crate::Shared;
+use crate::moves::set_shares;
+
+/// The interval at which moves advance.
+const TICK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Why a status was not written.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error(transparent)]
+    Platform(#[from] ebonylug_platform::Error),
+    #[error(transparent)]
+    Problem(#[from] ebonylug_resource::Problem),
+    #[error("a later holder of the lease has written the status")]
+    Fenced,
+}
+
+type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// The row of a move's status. Its fencing number keeps out an earlier holder of the lease.
+#[derive(Debug, Serialize, Deserialize)]
+struct StatusRow {
+    fence: Fence,
+    status: MoveStatus,
+}
+
+/// Advances all moves until the future is dropped.
+pub async fn run(shared: Arc<Shared>) {
+    let mut interval = tokio::time::interval(TICK_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if !shared.fleet.is_settled() {
+            continue;
+        }
+        let lease = shared.leadership.fence();
+        // A write that fails is asked for again, so the state of the store need not be known here.
+        let advanced = shared
+            .moves
+            .tick(|spec| shared.fleet.capacity(spec), StoreState::Up, lease);
+        for (spec, actions) in &advanced {
+            apply_shares(&shared, spec, actions);
+        }
+        for (spec, actions) in advanced {
+            carry_out(&shared, &spec, actions).await;
+        }
+    }
+}
+
+/// Shares come before everything that waits for the store: a cut must not be held up.
+fn apply_shares(shared: &Shared, spec: &MoveSpec, actions: &Actions) {
+    for action in actions {
+        if let MoveAction::SetShare(share) = action {
+            tracing::info!(name = %spec.name, share = share.fraction(), "move: share");
+            shared
+                .dispatcher
+                .update(|router| set_shares(router, spec, *share));
+            record_share(shared, spec, *share);
+        }
+    }
+}
+
+fn record_share(shared: &Shared, spec: &MoveSpec, share: Share) {
+    let kind = if share == Share::ZERO {
+        EventKind::MoveCut
+    } else {
+        EventKind::MoveShare {
+            permille: (share.fraction() * 1_000.0) as u16,
+        }
+    };
+    shared
+        .recorder
+        .record(kind, Subject::new().version_move(spec.name.clone()));
+}
+
+async fn carry_out(shared: &Shared, spec: &MoveSpec, actions: Actions) {
+    for action in actions {
+        match action {
+            MoveAction::SetShare(_) => {}
+            MoveAction::Announce(status) => announce(shared, spec, &status),
+            MoveAction::WriteStatus { status, fence } => {
+                if let Err(error) = write(shared, spec, &status, fence).await {
+                    tracing::warn!(name = %spec.name, %error, "move: status was not written");
+                }
+            }
+            // New versions start beside the old ones on targets of their own, so nothing is loaded
+            // or unloaded here; see "Not done" in docs/PROOFS.md.
+            MoveAction::OrderLoad { .. }
+            | MoveAction::WarmUp { .. }
+            | MoveAction::Release { .. } => {}
+        }
+    }
+}
+
+fn announce(shared: &Shared, spec: &MoveSpec, status: &MoveStatus) {
+    tracing::info!(name = %spec.name, phase = ?status.phase, "move: phase");
+    let kind = match status.phase {
+        Phase::Done => EventKind::MoveDone,
+        Phase::RolledBack => EventKind::MoveRolledBack,
+        Phase::Refused => EventKind::MoveRefused,
+        Phase::Pending | Phase::Ramping | Phase::Watching => return,
+    };
+    shared
+        .recorder
+        .record(kind, Subject::new().version_move(spec.name.clone()));
+}
+
+/// Writes the status row, and ends the move in the configuration when it has ended.
+///
+/// Each step is harmless when it is repeated, so a lost reply is settled by the next write.
+async fn write(shared: &Shared, spec: &MoveSpec, status: &MoveStatus, fence: Fence) -> Result<()> {
+    let key = format!("status/move/{}", spec.name);
+    let present = shared.platform.get(&key).await?;
+    let expect = match &present {
+        None => Expect::Absent,
+        Some(row) => {
+            let earlier = serde_json::from_str::<StatusRow>(&row.value).ok();
+            if earlier.is_some_and(|earlier| earlier.fence > fence) {
+                return Err(Error::Fenced);
+            }
+            Expect::Version(row.version)
+        }
+    };
+    let row = StatusRow {
+        fence,
+        status: status.clone(),
+    };
+    let text = serde_json::to_string(&row).expect("a status is plain data");
+    let transaction = Transaction::new().expect(&key, expect).put(&key, &text);
+    shared.platform.transact(transaction).await?;
+    if let Some(state) = ending(status) {
+        end(shared, spec, state).await?;
+    }
+    shared.moves.written(status);
+    Ok(())
+}
+
+/// Returns the state in which a move that has ended stays in the configuration.
+fn ending(status: &MoveStatus) -> Option<MoveState> {
+    match status.phase {
+        Phase::Done => Some(MoveState::Finished),
+        Phase::RolledBack | Phase::Refused => Some(MoveState::Cancelled),
+        Phase::Pending | Phase::Ramping | Phase::Watching => None,
+    }
+}
+
+async fn end(shared: &Shared, spec: &MoveSpec, state: MoveState) -> Result<()> {
+    let view = shared.current.view();
+    let planned = view
+        .document
+        .get::<ebonylug_resource::MoveSpec>(spec.name.as_str());
+    let Some(planned) = planned.filter(|planned| planned.spec.state == MoveState::Active) else {
+        return Ok(());
+    };
+    let mut ended: Resource<ebonylug_resource::MoveSpec> = (**planned).clone();
+    ended.spec.state = state;
+    let mut change = Change::put(ended).expecting(Expected::Revision(planned.metadata.revision));
+    if state == MoveState::Finished {
+        for name in &spec.routes {
+            let Some(route) = view.document.get::<RouteSpec>(name.as_str()) else {
+                continue;
+            };
+            let mut moved: Resource<RouteSpec> = (**route).clone();
+            moved.spec.base = spec.to.clone();
+            let expected = Expected::Revision(route.metadata.revision);
+            change = change.and(Change::put(moved).expecting(expected));
+        }
+    }
+    shared.configuration.publish(&change).await?;
+    Ok(())
+}
--- a/crates/ebonylug-entry/src/fleet.rs
+++ b/crates/ebonylug-entry/src/fleet.rs
@@ -8,6 +8,7 @@
 use ebonylug_admission::CrashLog;
 use ebonylug_core::{Class, Clock, Gate, LoadReport, Name};
 use ebonylug_membership::{MemberState, Membership, subset};
+use ebonylug_moves::{Capacity, MoveSpec};
 use ebonylug_net::client::Client;
 use ebonylug_net::key::SharedKey;
 use ebonylug_net::rpc::{Instructions, Report, Seen};
@@ -25,6 +26,8 @@
 
 /// The shortest time between two reports of one target.
 const REPORT_PAUSE: Duration = Duration::from_millis(50);
+/// Time in which targets report to an entry that has just started.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
 /// Pause before a sidecar that does not answer is asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -56,6 +59,8 @@
     crashes: CrashLog,
     targets: HashMap<Name, Known>,
     rows: Vec<InstanceRow>,
+    /// When the instance list was first read.
+    listed: Option<Instant>,
 }
 
 /// A target of the subset.
@@ -76,6 +81,22 @@
     }
 }
 
+/// The targets of one version in a move.
+#[derive(Default)]
+struct Side {
+    count: f64,
+    limit: f64,
+    used: f64,
+}
+
+impl Side {
+    fn add(&mut self, report: &LoadReport) {
+        self.count += 1.0;
+        self.limit += report.limit.as_f64();
+        self.used += report.used.as_f64();
+    }
+}
+
 /// The state of one target, for operators.
 #[derive(Clone, Debug)]
 pub struct Observed {
@@ -106,6 +127,7 @@
                 crashes: CrashLog::new(),
                 targets: HashMap::new(),
                 rows: Vec::new(),
+                listed: None,
             }),
         })
     }
@@ -115,6 +137,7 @@
         let mut state = self.lock();
         state.membership.apply_list(self.clock.now(), &rows);
         state.rows = rows;
+        state.listed.get_or_insert(self.clock.now());
         drop(state);
         self.reconcile();
     }
@@ -174,6 +197,17 @@
         !state.targets.is_empty() && state.targets.values().any(|known| known.report.is_some())
     }
 
+    /// Reports whether every target has reported, or has had the time to. Before that, a move must
+    /// not be refused for lack of capacity.
+    pub fn is_settled(&self) -> bool {
+        let state = self.lock();
+        let Some(listed) = state.listed else {
+            return false;
+        };
+        let heard = state.targets.values().all(|known| known.report.is_some());
+        (heard && !state.targets.is_empty()) || self.clock.now() - listed > SETTLE_TIME
+    }
+
     /// Returns what is known about a target.
     pub fn observed(&self, target: &Name) -> Option<Observed> {
         let state = self.lock();
@@ -191,6 +225,37 @@
         self.lock().zones.state(zone)
     }
 
+    /// Returns what the targets of a move's new version bear, relative to the present load of both
+    /// versions. Cold targets count with their present limit, so the share rises as they get warm.
+    pub fn capacity(&self, spec: &MoveSpec) -> Capacity {
+        let state = self.lock();
+        let targets = state.targets.values();
+        let (mut old, mut new) = (Side::default(), Side::default());
+        for known in targets {
+            let Some(report) = known.report.as_ref().filter(|report| report.up) else {
+                continue;
+            };
+            if known.version == spec.to {
+                new.add(report);
+            } else if known.version == spec.from {
+                old.add(report);
+            }
+        }
+        let load = f64::max(old.used + new.used, 1.0);
+        let warm = (new.limit / load).min(1.0);
+        // Once they are warm, the new targets are expected to bear what the old ones bear.
+        let expected = new.count * old.limit / f64::max(old.count, 1.0);
+        Capacity {
+            warm,
+            planned: f64::max(warm, expected / load),
+        }
+    }
+
+    /// Returns the instances of the last list.
+    pub fn rows(&self) -> Vec<InstanceRow> {
+        self.lock().rows.clone()
+    }
+
     /// Returns the crashes that this entry knows of.
     pub fn crashes(&self) -> CrashLog {
         self.lock().crashes.clone()
--- a/crates/ebonylug-entry/src/lib.rs
+++ b/crates/ebonylug-entry/src/lib.rs
@@ -16,8 +16,10 @@
 mod caller;
 mod configuration;
 mod dispatcher;
+mod driver;
 mod fleet;
 mod http;
+mod leadership;
 mod moves;
 mod operator;
 mod peers;
@@ -27,6 +29,7 @@
 mod settings;
 mod sink;
 mod status;
+mod timeline;
 mod view;
 
 use std::net::{SocketAddr, TcpListener};
@@ -37,7 +40,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use ebonylug_core::{Clock, Incarnation, Revision};
+use ebonylug_events::Origin;
 use ebonylug_net::metrics::Metrics;
+use ebonylug_net::record::Recorder;
 use ebonylug_net::serve::Server;
 use ebonylug_net::stop::{Phase, Stop};
 use ebonylug_platform::{HttpPlatform, InstanceList, InstanceRow, InstanceState};
@@ -46,6 +51,7 @@
 use crate::configuration::Configuration;
 use crate::dispatcher::Dispatcher;
 use crate::fleet::Fleet;
+use crate::leadership::Leadership;
 use crate::moves::Moves;
 use crate::peers::Peers;
 use crate::view::Current;
@@ -87,7 +93,10 @@
     fleet: Arc<Fleet>,
     configuration: Arc<Configuration>,
     moves: Arc<Moves>,
+    leadership: Leadership,
+    platform: HttpPlatform,
     peers: Peers,
+    recorder: Arc<Recorder>,
     stop: Stop,
     metrics: Metrics,
 }
@@ -121,12 +130,19 @@
         let incarnation = Incarnation::random(&mut rng);
         let current = Arc::new(Current::default());
         let router = Router::new(ebonylug_routing::Settings::default(), rng.random());
+        let origin = Origin {
+            process: settings.instance.clone(),
+            zone: settings.zone.clone(),
+            incarnation,
+        };
+        let recorder = Arc::new(Recorder::new(origin, Arc::clone(&clock)));
         let moves = Arc::new(Moves::new(Arc::clone(&clock), incarnation));
         let dispatcher = Arc::new(Dispatcher::new(
             router,
             Arc::clone(&clock),
             Arc::clone(&current),
             Arc::clone(&moves),
+            Arc::clone(&recorder),
         ));
         let fleet_settings = fleet::Settings {
             entry: settings.instance.clone(),
@@ -155,6 +171,9 @@
             configuration: Arc::clone(&configuration),
             moves,
             peers: Peers::new(settings.instance.clone(), incarnation, settings.key.clone()),
+            leadership: Leadership::default(),
+            platform: platform.clone(),
+            recorder,
             stop: Stop::new(),
             metrics: Metrics::new(),
         });
@@ -172,9 +191,12 @@
 
         let mut tasks = tokio::task::JoinSet::new();
         tasks.spawn(dispatcher.run());
-        tasks.spawn(follow_list(platform, Arc::clone(&shared)));
+        tasks.spawn(follow_list(Arc::clone(&shared)));
         tasks.spawn(follow_configuration(Arc::clone(&shared)));
         tasks.spawn(tick(fleet));
+        tasks.spawn(driver::run(Arc::clone(&shared)));
+        let instance = settings.instance.clone();
+        tasks.spawn(leadership::run(Arc::clone(&shared), instance, incarnation));
         tasks.spawn(peers::run(Arc::clone(&shared), rng.random()));
         let served = Arc::clone(&shared);
         tasks.spawn(ebonylug_net::rpc::listen(
@@ -250,9 +272,9 @@
     Error::Listen { address, source }
 }
 
-async fn follow_list(platform: HttpPlatform, shared: Arc<Shared>) {
+async fn follow_list(shared: Arc<Shared>) {
     loop {
-        match platform.instances().await {
+        match shared.platform.instances().await {
             Ok(rows) => {
                 let links = shared.peers.listed(&rows);
                 shared
--- a/crates/ebonylug-entry/src/moves.rs
+++ b/crates/ebonylug-entry/src/moves.rs
@@ -128,12 +128,21 @@
         self.lock().evidence.since(Bucket::of(since), None)
     }
 
+    /// Reports whether there are no moves.
+    pub fn is_empty(&self) -> bool {
+        self.lock().moves.is_empty()
+    }
+
+    /// Returns the state of one move.
+    pub fn status(&self, name: &Name) -> Option<MoveStatus> {
+        self.lock().moves.get(name).map(MoveState::status)
+    }
+
     /// Returns the state of all moves.
     pub fn statuses(&self) -> Vec<MoveStatus> {
         self.lock().moves.values().map(MoveState::status).collect()
     }
 
-    #[expect(dead_code, reason = "the driver of moves is not connected yet")]
     /// Advances all moves and returns what is to be done for each.
     pub fn tick(
         &self,
@@ -154,7 +163,6 @@
         moves.values_mut().map(advance).collect()
     }
 
-    #[expect(dead_code, reason = "the driver of moves is not connected yet")]
     /// Confirms that a status is in the table.
     pub fn written(&self, status: &MoveStatus) {
         if let Some(known) = self.lock().moves.get_mut(&status.name) {
--- a/crates/ebonylug-entry/src/operator.rs
+++ b/crates/ebonylug-entry/src/operator.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::settings::Role;
-use crate::{Shared, reply, status};
+use crate::{Shared, reply, status, timeline};
 
 /// The prefix of the resource API.
 pub const PREFIX: &str = "/api/v1/";
@@ -118,6 +118,10 @@
             apply(shared, &change, query.dry_run).await
         }
         (&Method::GET, ["watch"]) => watch(shared, query.since).await,
+        (&Method::GET, ["events"]) => Ok(serve::json(
+            StatusCode::OK,
+            &timeline::collect(shared).await,
+        )),
         (&Method::GET, ["quarantine"]) => Ok(quarantine(shared)),
         (&Method::DELETE, ["quarantine", fingerprint]) => release(shared, fingerprint),
         _ => Err(Problem::not_found("there is no such path")),
--- a/crates/ebonylug-entry/src/peers.rs
+++ b/crates/ebonylug-entry/src/peers.rs
@@ -12,6 +12,7 @@
 
 use ebonylug_config::Head;
 use ebonylug_core::{Incarnation, Name};
+use ebonylug_events::Page;
 use ebonylug_net::key::SharedKey;
 use ebonylug_net::rpc::{EntryControl, EntryLink, Gossip, server_channel};
 use ebonylug_platform::{InstanceRow, InstanceState, ObjectHash};
@@ -114,10 +115,12 @@
         evidence: shared.moves.recent(),
         crashes: shared.fleet.crashes(),
         moves: shared.moves.statuses(),
+        stamp: shared.recorder.stamp(),
     }
 }
 
 fn accept(shared: &Shared, gossip: &Gossip) {
+    shared.recorder.observe(gossip.stamp);
     shared.configuration.heard(&gossip.entry, gossip.revision);
     shared
         .fleet
@@ -146,6 +149,10 @@
         gossip(&self.shared)
     }
 
+    async fn events(self, _: Context, since: u64, limit: usize) -> Page {
+        self.shared.recorder.since(since, limit)
+    }
+
     async fn head(self, _: Context) -> Option<Head> {
         self.shared.configuration.head()
     }
--- a/crates/ebonylug-entry/src/reply.rs
+++ b/crates/ebonylug-entry/src/reply.rs
@@ -1,5 +1,5 @@
 use http::{HeaderName, HeaderValue, StatusCode, header};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use ebonylug_core::{Reason, Refusal, RequestId};
 use ebonylug_net::serve::{self, Answer};
@@ -50,7 +50,7 @@
 /// Makes the error answer for a request.
 #[must_use]
 pub fn fate(request: RequestId, fate: Fate) -> Answer {
-    let mut answer = error(fate.status(), fate.word(), &fate.message());
+    let mut answer = answer(fate.status(), fate.word(), &error_body(fate, Some(request)));
     if let Fate::NotRun(refusal) = fate {
         insert(&mut answer, wire::REASON, &reason_word(refusal.reason));
         if let Some(after) = refusal.after {
@@ -68,7 +68,14 @@
 /// Makes the error answer for a request that was rejected before it was queued.
 #[must_use]
 pub fn rejected(status: StatusCode, message: &str) -> Answer {
-    error(status, "not-run", message)
+    let outcome = "not-run";
+    answer(status, outcome, &body(status, outcome, message, None))
+}
+
+/// Makes the body of an error, in the form that clients of chat completions expect.
+#[must_use]
+pub fn error_body(fate: Fate, request: Option<RequestId>) -> Value {
+    body(fate.status(), fate.word(), &fate.message(), request)
 }
 
 /// Adds a header whose value is known to be visible ASCII; other values are left out.
@@ -78,17 +85,20 @@
     }
 }
 
-/// The body has the form that clients of chat completions expect of errors.
-fn error(status: StatusCode, outcome: &str, message: &str) -> Answer {
-    let body = json!({
+fn body(status: StatusCode, outcome: &str, message: &str, request: Option<RequestId>) -> Value {
+    json!({
         "error": {
             "message": message,
             "type": status.canonical_reason().unwrap_or("error"),
             "code": status.as_u16(),
             "outcome": outcome,
+            "request": request,
         }
-    });
-    let mut answer = serve::json(status, &body);
+    })
+}
+
+fn answer(status: StatusCode, outcome: &str, body: &Value) -> Answer {
+    let mut answer = serve::json(status, body);
     insert(&mut answer, wire::OUTCOME, outcome);
     answer
 }
--- a/crates/ebonylug-entry/src/sink.rs
+++ b/crates/ebonylug-entry/src/sink.rs
@@ -1,9 +1,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use serde::Deserialize;
 use tokio::sync::mpsc;
 
 use ebonylug_core::Refusal;
+use ebonylug_events::Stamp;
 use ebonylug_net::frame::Head;
 
 /// Bound on a plain answer that is held back until it is whole, in bytes.
@@ -39,8 +41,10 @@
 #[derive(Debug)]
 pub struct Sink {
     parts: mpsc::Sender<Part>,
+    stall: Duration,
     held: Option<Held>,
     head_sent: bool,
+    hung_up: bool,
     progress: Progress,
 }
 
@@ -50,7 +54,9 @@
     began: Option<Instant>,
     first: Option<Instant>,
     parts: u32,
+    tokens: u64,
     status: u16,
+    stamp: Stamp,
 }
 
 #[derive(Debug, Default)]
@@ -61,11 +67,16 @@
 
 impl Sink {
     /// Creates a sink; plain answers are held back until they are whole.
-    pub fn new(parts: mpsc::Sender<Part>, streamed: bool) -> Self {
+    ///
+    /// A caller that takes no part for the time `stall` counts as having hung up, so that it does not
+    /// occupy its target.
+    pub fn new(parts: mpsc::Sender<Part>, streamed: bool, stall: Duration) -> Self {
         Sink {
             parts,
+            stall,
             held: (!streamed).then(Held::default),
             head_sent: false,
+            hung_up: false,
             progress: Progress::default(),
         }
     }
@@ -94,6 +105,39 @@
         Some((now - first) / gaps)
     }
 
+    /// Notes the logical time of the sidecar's last message.
+    pub fn observe(&mut self, stamp: Stamp) {
+        self.progress.stamp = stamp;
+    }
+
+    /// Returns the logical time of the sidecar's last message.
+    pub fn stamp(&self) -> Stamp {
+        self.progress.stamp
+    }
+
+    /// Notes the output tokens that the request has delivered, with earlier attempts.
+    pub fn count(&mut self, tokens: u64) {
+        self.progress.tokens = tokens;
+    }
+
+    /// Returns the output tokens of the whole answer, if they are known. A plain answer of a model
+    /// states them itself.
+    pub fn output(&self) -> Option<u64> {
+        #[derive(Deserialize)]
+        struct Plain {
+            usage: Usage,
+        }
+        #[derive(Deserialize)]
+        struct Usage {
+            completion_tokens: u64,
+        }
+        if self.progress.tokens > 0 {
+            return Some(self.progress.tokens);
+        }
+        let plain: Plain = serde_json::from_slice(&self.held.as_ref()?.body).ok()?;
+        Some(plain.usage.completion_tokens)
+    }
+
     /// Reports whether the target answered with a server error.
     pub fn is_server_error(&self) -> bool {
         self.progress.status >= 500
@@ -146,12 +190,12 @@
         if end == Part::End && self.release().await.is_err() {
             return;
         }
-        let _ = self.parts.send(end).await;
+        let _ = self.send(end).await;
     }
 
     /// Reports whether the caller has hung up.
     pub fn is_closed(&self) -> bool {
-        self.parts.is_closed()
+        self.hung_up || self.parts.is_closed()
     }
 
     async fn release(&mut self) -> Result<(), HungUp> {
@@ -165,7 +209,13 @@
         self.send(Part::Data(held.body.freeze())).await
     }
 
-    async fn send(&self, part: Part) -> Result<(), HungUp> {
-        self.parts.send(part).await.map_err(|_| HungUp)
+    async fn send(&mut self, part: Part) -> Result<(), HungUp> {
+        match tokio::time::timeout(self.stall, self.parts.send(part)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => {
+                self.hung_up = true;
+                Err(HungUp)
+            }
+        }
     }
 }
--- a/crates/ebonylug-entry/src/status.rs
+++ b/crates/ebonylug-entry/src/status.rs
@@ -2,6 +2,7 @@
 
 use ebonylug_core::{Gate, LoadReport};
 use ebonylug_membership::MemberState;
+use ebonylug_moves::MoveStatus;
 use ebonylug_resource::{AnyResource, Condition, Status, Timestamp};
 use ebonylug_zones::ZoneState;
 
@@ -21,6 +22,10 @@
                 shared.clock.wall(),
             )]
         }
+        AnyResource::Move(planned) => match shared.moves.status(planned.name()) {
+            Some(status) => move_conditions(&status),
+            None => return resource,
+        },
         _ => return resource,
     };
     resource.with_status(Status { conditions })
@@ -36,6 +41,25 @@
     }
 }
 
+/// The first condition tells the phase, the others how it came about.
+fn move_conditions(status: &MoveStatus) -> Vec<Condition> {
+    let phase = format!("{:?}", status.phase);
+    let share = format!(
+        "{} % of the traffic goes to the new version",
+        status.share.fraction() * 100.0
+    );
+    let time = status
+        .conditions
+        .last()
+        .map_or(SystemTime::UNIX_EPOCH, |last| last.time);
+    let mut conditions = vec![condition("Phase", &phase, &share, time)];
+    conditions.extend(status.conditions.iter().map(|observed| {
+        let reason = format!("{:?}", observed.reason);
+        condition("Progress", &reason, &observed.message, observed.time)
+    }));
+    conditions
+}
+
 fn target_condition(observed: Option<Observed>, now: SystemTime) -> Condition {
     let Some(observed) = observed else {
         let message = "the target is not in the subset of this entry, or not in the instance list";
--- /dev/null
+++ b/crates/ebonylug-entry/src/timeline.rs
@@ -0,0 +1,61 @@
+//! Collects the events of all processes for operators.
+
+use std::net::SocketAddr;
+
+use futures_util::StreamExt;
+use serde::Serialize;
+
+use ebonylug_core::Name;
+use ebonylug_events::{Event, Page};
+use ebonylug_net::rpc::{EntryLink, SidecarLink};
+use ebonylug_platform::InstanceRow;
+
+use crate::Shared;
+
+/// Events that are taken from each process.
+const MAX_EVENTS: usize = 4_096;
+/// Processes that are asked at the same time.
+const MAX_CONCURRENT: usize = 32;
+
+/// The events of all processes, one list for each.
+#[derive(Debug, Default, Serialize)]
+pub struct Collected {
+    /// The events of one process each.
+    pub lists: Vec<Vec<Event>>,
+    /// The instances that did not answer.
+    pub unreachable: Vec<Name>,
+}
+
+/// Asks every instance of the list for its events.
+pub async fn collect(shared: &Shared) -> Collected {
+    let mut collected = Collected::default();
+    collected
+        .lists
+        .push(shared.recorder.since(0, MAX_EVENTS).events);
+    let others = shared.fleet.rows().into_iter();
+    let others = others.filter(|row| row.instance != shared.settings.instance);
+    let mut answers = futures_util::stream::iter(others)
+        .map(|row| async {
+            let page = events(shared, &row).await;
+            (row.instance, page)
+        })
+        .buffer_unordered(MAX_CONCURRENT);
+    while let Some((instance, page)) = answers.next().await {
+        match page {
+            Some(page) => collected.lists.push(page.events),
+            None => collected.unreachable.push(instance),
+        }
+    }
+    collected.unreachable.sort();
+    collected
+}
+
+async fn events(shared: &Shared, row: &InstanceRow) -> Option<Page> {
+    let address: SocketAddr = row.control.parse().ok()?;
+    let key = shared.settings.key.clone();
+    let page = match row.target {
+        Some(_) => SidecarLink::new(address, key).events(0, MAX_EVENTS).await,
+        None => EntryLink::new(address, key).events(0, MAX_EVENTS).await,
+    };
+    page.ok()
+}
--- a/crates/ebonylug-net/src/frame.rs
+++ b/crates/ebonylug-net/src/frame.rs
@@ -5,6 +5,7 @@
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 use ebonylug_core::End;
+use ebonylug_events::Stamp;
 
 use crate::wire::Refused;
 
@@ -29,6 +30,8 @@
     pub tokens: u64,
     /// Whether the end was ordered to make room for other work.
     pub preempted: bool,
+    /// The logical time of the end.
+    pub stamp: Stamp,
 }
 
 /// One frame of an answer.
--- a/crates/ebonylug-net/src/lib.rs
+++ b/crates/ebonylug-net/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`wire`]: the headers of the data path.
 //! - [`frame`]: the framing of answers between sidecar and entry.
 //! - [`rpc`]: control messages, after a handshake with the shared key.
+//! - [`record`]: the events of the time line.
 //! - [`stop`]: the order of steps of a planned stop.
 //!
 //! # Why answers are framed
@@ -25,6 +26,7 @@
 pub mod key;
 pub mod logs;
 pub mod metrics;
+pub mod record;
 pub mod rpc;
 pub mod serve;
 pub mod settings;
--- a/crates/ebonylug-net/src/rpc/entry.rs
+++ b/crates/ebonylug-net/src/rpc/entry.rs
@@ -8,6 +8,7 @@
 use ebonylug_admission::CrashLog;
 use ebonylug_config::{Head, Source};
 use ebonylug_core::{Incarnation, Name, Revision};
+use ebonylug_events::{Page, Stamp};
 use ebonylug_moves::{Evidence, MoveStatus};
 use ebonylug_platform::ObjectHash;
 
@@ -33,6 +34,8 @@
     pub crashes: CrashLog,
     /// The state of moves.
     pub moves: Vec<MoveStatus>,
+    /// The logical time of the message.
+    pub stamp: Stamp,
 }
 
 /// The control calls of an entry. All are idempotent.
@@ -40,6 +43,8 @@
 pub trait EntryControl {
     /// Takes over what the caller knows, and returns what this entry knows.
     async fn exchange(gossip: Gossip) -> Gossip;
+    /// Returns events of the time line.
+    async fn events(since: u64, limit: usize) -> Page;
     /// Returns the head of the configuration in force, if there is one.
     async fn head() -> Option<Head>;
     /// Returns the manifest or a section of the configuration in force.
@@ -72,6 +77,18 @@
         };
         self.link.call(call).await
     }
+
+    /// Returns the events with higher numbers than `since`, at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry does not answer in time.
+    pub async fn events(&self, since: u64, limit: usize) -> Result<Page> {
+        let call = |client: EntryControlClient| async move {
+            client.events(deadline(CALL_TIMEOUT), since, limit).await
+        };
+        self.link.call(call).await
+    }
 }
 
 impl Source for EntryLink {
--- a/crates/ebonylug-net/src/rpc/sidecar.rs
+++ b/crates/ebonylug-net/src/rpc/sidecar.rs
@@ -7,6 +7,8 @@
 use ebonylug_admission::CrashLog;
 use ebonylug_core::{AttemptId, Gate, Incarnation, LoadReport, Revision, Revoked, Tokens};
 
+use ebonylug_events::{Page, Stamp};
+
 use super::link::{Link, Result, deadline};
 use super::{HEARTBEAT, transport};
 use crate::key::SharedKey;
@@ -35,6 +37,8 @@
     pub load: LoadReport,
     /// Number of crashes that the sidecar knows of, its own and those it was told.
     pub crashes: u64,
+    /// The logical time of the report.
+    pub stamp: Stamp,
 }
 
 /// What a caller of [`SidecarControl::report`] knows already.
@@ -60,6 +64,7 @@
         let Report {
             load: report,
             crashes,
+            ..
         } = report;
         Seen {
             incarnation: Some(report.incarnation),
@@ -102,6 +107,8 @@
     async fn cancel(attempt: AttemptId);
     /// Returns the crashes that the sidecar knows of.
     async fn crashes() -> CrashLog;
+    /// Returns events of the time line.
+    async fn events(since: u64, limit: usize) -> Page;
     /// Puts instructions in force; returns the revision that is in force then.
     async fn instruct(instructions: Instructions) -> Revision;
 }
@@ -171,6 +178,18 @@
         self.link.call(call).await
     }
 
+    /// Returns the events with higher numbers than `since`, at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the sidecar does not answer in time.
+    pub async fn events(&self, since: u64, limit: usize) -> Result<Page> {
+        let call = |client: SidecarControlClient| async move {
+            client.events(deadline(CALL_TIMEOUT), since, limit).await
+        };
+        self.link.call(call).await
+    }
+
     /// Puts instructions in force and returns the revision that is in force then.
     ///
     /// # Errors
--- a/crates/ebonylug-net/src/wire.rs
+++ b/crates/ebonylug-net/src/wire.rs
@@ -4,9 +4,12 @@
 use serde::{Deserialize, Serialize};
 
 use ebonylug_core::{LoadReport, Offer, Refusal};
+use ebonylug_events::Stamp;
 
 /// The offer of an attempt, as JSON.
 pub const OFFER: HeaderName = HeaderName::from_static("ebonylug-offer");
+/// The logical time of a dispatch.
+pub const STAMP: HeaderName = HeaderName::from_static("ebonylug-stamp");
 /// The method of the call to the target.
 pub const METHOD: HeaderName = HeaderName::from_static("ebonylug-method");
 /// The path and query of the call to the target.
@@ -49,6 +52,8 @@
     pub refusal: Refusal,
     /// The state of the sidecar at that moment.
     pub report: LoadReport,
+    /// The logical time of the refusal.
+    pub stamp: Stamp,
 }
 
 /// Writes an offer as a header value.
--- a/crates/ebonylug-sidecar/src/control.rs
+++ b/crates/ebonylug-sidecar/src/control.rs
@@ -7,6 +7,7 @@
 
 use ebonylug_admission::CrashLog;
 use ebonylug_core::{AttemptId, Incarnation, Revision, Revoked};
+use ebonylug_events::Page;
 use ebonylug_net::rpc::{HEARTBEAT, Instructions, Report, Seen, SidecarControl, server_channel};
 
 use crate::core::Core;
@@ -34,6 +35,7 @@
         Report {
             load: self.core.report(),
             crashes: self.core.crash_count(),
+            stamp: self.core.recorder().stamp(),
         }
     }
 }
@@ -64,6 +66,10 @@
         self.core.crashes()
     }
 
+    async fn events(self, _: Context, since: u64, limit: usize) -> Page {
+        self.core.recorder().since(since, limit)
+    }
+
     async fn instruct(self, _: Context, instructions: Instructions) -> Revision {
         self.core.instruct(&instructions)
     }
--- a/crates/ebonylug-sidecar/src/core.rs
+++ b/crates/ebonylug-sidecar/src/core.rs
@@ -7,10 +7,12 @@
 
 use ebonylug_admission::{Action, Admission, CrashLog, Decision};
 use ebonylug_core::{
-    AttemptId, Clock, End, EngineReport, Gate, Incarnation, LoadReport, Offer, Refusal, Repeat,
-    Revoked, Tokens,
+    AttemptId, Clock, End, EngineReport, Gate, Incarnation, LoadReport, Name, Offer, Refusal,
+    Repeat, Revoked, Tokens,
 };
+use ebonylug_events::{EventKind, Origin, Stamp, Subject};
 use ebonylug_net::frame::Tail;
+use ebonylug_net::record::Recorder;
 use ebonylug_net::rpc::Instructions;
 
 use crate::answer::Answer;
@@ -55,6 +57,8 @@
 /// I/O.
 pub struct Core {
     clock: Arc<dyn Clock>,
+    recorder: Recorder,
+    target: Name,
     state: Mutex<State>,
     changed: watch::Sender<u64>,
 }
@@ -68,9 +72,16 @@
 
 impl Core {
     /// Creates the state of a sidecar that has admitted nothing.
-    pub fn new(settings: ebonylug_admission::Settings, clock: Arc<dyn Clock>) -> Self {
+    pub fn new(
+        settings: ebonylug_admission::Settings,
+        origin: Origin,
+        target: Name,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
         let admission = Admission::new(settings, clock.now());
         Core {
+            recorder: Recorder::new(origin, Arc::clone(&clock)),
+            target,
             clock,
             state: Mutex::new(State {
                 admission,
@@ -81,9 +92,10 @@
         }
     }
 
-    /// Decides about an offer; the attempts that make room for it are stopped.
-    pub fn offer(&self, offer: Offer) -> Verdict {
+    /// Decides about an offer that was sent at `sent`; the attempts that make room are stopped.
+    pub fn offer(&self, offer: Offer, sent: Stamp) -> Verdict {
         let now = self.clock.now();
+        self.recorder.observe(sent);
         let mut state = self.lock();
         let (attempt, repeat) = (offer.attempt, offer.repeat);
         let verdict = match state.admission.offer(now, offer) {
@@ -102,6 +114,16 @@
             }
         };
         drop(state);
+        match &verdict {
+            Verdict::Run(_) => self.record(EventKind::Admitted, attempt),
+            Verdict::Refuse(refusal) => self.record(
+                EventKind::Refused {
+                    reason: refusal.reason,
+                },
+                attempt,
+            ),
+            Verdict::Join(_) | Verdict::Gone => {}
+        }
         self.notify();
         verdict
     }
@@ -122,6 +144,7 @@
 
     /// Records the first sign of an answer.
     pub fn first_token(&self, attempt: AttemptId) {
+        self.record(EventKind::FirstToken, attempt);
         self.lock().admission.first_token(self.clock.now(), attempt);
     }
 
@@ -132,10 +155,13 @@
         state.admission.finish(now, attempt, end);
         if let Some(known) = state.attempts.get_mut(&attempt) {
             known.ended = Some(now);
+            let preempted = known.preempted && end == End::Cancelled;
+            self.record(end_event(end, preempted, tokens), attempt);
             known.answer.finish(Tail {
                 end,
                 tokens,
-                preempted: known.preempted && end == End::Cancelled,
+                preempted,
+                stamp: self.recorder.stamp(),
             });
         }
         drop(state);
@@ -178,9 +204,11 @@
         }
         if up {
             tracing::info!("sidecar: target is up");
+            self.record_target(EventKind::TargetUp);
             state.admission.target_up(now);
         } else {
             tracing::warn!("sidecar: target is down");
+            self.record_target(EventKind::TargetDown);
             state.admission.target_down(now);
         }
         drop(state);
@@ -194,6 +222,10 @@
         if instructions.revision < present {
             return present;
         }
+        if instructions.revision > present {
+            let subject = Subject::new().revision(instructions.revision);
+            self.recorder.record(EventKind::RevisionApplied, subject);
+        }
         state.admission.set_revision(instructions.revision);
         if !state.leaving {
             state.admission.set_gate(instructions.gate);
@@ -226,6 +258,7 @@
     /// Refuses new work from now on, because this process leaves.
     pub fn leave(&self) {
         let mut state = self.lock();
+        self.record_target(EventKind::Draining);
         state.leaving = true;
         state.admission.set_gate(Gate::Leaving);
         drop(state);
@@ -260,6 +293,21 @@
         self.notify();
     }
 
+    /// Returns the events of the time line.
+    pub fn recorder(&self) -> &Recorder {
+        &self.recorder
+    }
+
+    fn record(&self, kind: EventKind, attempt: AttemptId) {
+        let subject = Subject::new().attempt(attempt).target(self.target.clone());
+        self.recorder.record(kind, subject);
+    }
+
+    fn record_target(&self, kind: EventKind) {
+        self.recorder
+            .record(kind, Subject::new().target(self.target.clone()));
+    }
+
     fn notify(&self) {
         self.changed.send_modify(|count| *count += 1);
     }
@@ -269,6 +317,16 @@
     }
 }
 
+fn end_event(end: End, preempted: bool, tokens: u64) -> EventKind {
+    match end {
+        End::Answered => EventKind::Answered,
+        End::Cancelled if preempted => EventKind::Preempted { received: tokens },
+        End::Cancelled => EventKind::Cancelled,
+        End::Failed => EventKind::Failed,
+        End::Crashed => EventKind::Crash,
+    }
+}
+
 impl Attempt {
     fn new(repeat: Repeat) -> Self {
         Attempt {
--- a/crates/ebonylug-sidecar/src/http.rs
+++ b/crates/ebonylug-sidecar/src/http.rs
@@ -4,6 +4,7 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 
 use ebonylug_core::{AttemptId, Offer, Reason, Refusal};
+use ebonylug_events::Stamp;
 use ebonylug_net::serve::{self, Answer as Reply, BodyError, Request};
 use ebonylug_net::stop::Phase;
 use ebonylug_net::wire::{self, Refused};
@@ -74,7 +75,7 @@
         body,
         offset: offer.offset,
     };
-    match shared.core.offer(offer) {
+    match shared.core.offer(offer, sent(&parts.headers)) {
         Verdict::Refuse(refusal) => refuse(&shared, refusal),
         Verdict::Gone => problem(
             StatusCode::GONE,
@@ -108,6 +109,14 @@
     Ok((offer, method, path.into()))
 }
 
+/// Reads the logical time of a dispatch; without it, the time line is less precise.
+fn sent(headers: &HeaderMap) -> Stamp {
+    let stamp = wire::read_text(headers, &wire::STAMP).ok();
+    stamp
+        .and_then(|stamp| stamp.parse().ok())
+        .map_or(Stamp::default(), Stamp)
+}
+
 fn passed_headers(headers: &HeaderMap) -> HeaderMap {
     let passed = headers.iter().filter(|(name, _)| !wire::is_hop(name));
     passed
@@ -140,6 +149,7 @@
     let refused = Refused {
         refusal,
         report: shared.core.report(),
+        stamp: shared.core.recorder().stamp(),
     };
     serve::json(StatusCode::CONFLICT, &refused)
 }
--- a/crates/ebonylug-sidecar/src/lib.rs
+++ b/crates/ebonylug-sidecar/src/lib.rs
@@ -26,6 +26,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use ebonylug_core::{Clock, End, EngineReport, Incarnation, Reason, Refusal, Tokens};
+use ebonylug_events::Origin;
 use ebonylug_net::client::Client;
 use ebonylug_net::metrics::Metrics;
 use ebonylug_net::serve::Server;
@@ -91,6 +92,7 @@
                 attempt.answer.refuse(Refused {
                     refusal: Refusal::new(Reason::Down),
                     report: self.core.report(),
+                    stamp: self.core.recorder().stamp(),
                 });
                 self.core.finish(call.attempt, End::Cancelled, call.offset);
             }
@@ -116,7 +118,13 @@
         settings.check()?;
         let settings = Arc::new(settings);
         let incarnation = Incarnation::random(&mut ChaCha8Rng::seed_from_u64(seed));
-        let core = Arc::new(Core::new(admission(&settings, incarnation), clock));
+        let origin = Origin {
+            process: settings.instance.clone(),
+            zone: settings.zone.clone(),
+            incarnation,
+        };
+        let admission = admission(&settings, incarnation);
+        let core = Arc::new(Core::new(admission, origin, settings.target.clone(), clock));
         let shared = Arc::new(Shared {
             caller: Caller::new(Arc::clone(&settings), Arc::clone(&core)),
             core: Arc::clone(&core),
