routing: keep shares exact while requests wait, expire or change

Cause: mutations showed guards that no test needed, and the stricter test of the shares then failed: 20 of 173 requests for a share of 0.1 (bound 19.9), and 85 of 123 for a share of 0.6 (bound 84.4). Debts were clamped, draws of an older epoch were not taken back, and a small cut made a rising version take the overflow of others. Change: debts are exact; every draw that was not sent is taken back; only a version that had all traffic, or the largest one at the start, takes what another has no room for; requests of the same organisation are looked at behind one that is blocked. Tests for refunds, for large requests, for room kept for the first request, and for protection by waiting batch work. Conclusion: the shares hold within one request, plus the share of the requests looked at.

--- a/crates/ebonylug-routing/src/estimate.rs
+++ b/crates/ebonylug-routing/src/estimate.rs
@@ -38,12 +38,12 @@
         self.known.renew((Some(org), route)).learn(output.as_f64());
     }
 
-    /// Returns the expected output, at least one token and at most `limit`.
-    pub(crate) fn expected(&self, org: OrganisationKey, route: RouteKey, limit: Tokens) -> Tokens {
+    /// Returns the expected output.
+    pub(crate) fn expected(&self, org: OrganisationKey, route: RouteKey) -> Tokens {
         let known = self.known.get(&(Some(org), route));
         let estimate = known.or_else(|| self.known.get(&(None, route)));
         let output = estimate.map_or(self.initial, |e| e.mean + self.margin * e.spread);
-        Tokens(output.ceil() as u64).min(limit).max(Tokens(1))
+        Tokens(output.ceil() as u64)
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/crates/ebonylug-routing/src/fairness.rs
+++ b/crates/ebonylug-routing/src/fairness.rs
@@ -76,16 +76,18 @@
         });
     }
 
-    /// Returns the first request of each organisation, in fair order.
+    /// Returns the first request of each organisation, in fair order, and then the others.
     pub(crate) fn heads(&self) -> impl Iterator<Item = RequestKey> + '_ {
-        self.active.iter().map(|(_, org)| {
-            let flow = &self.flows[org];
-            *flow
-                .waiting
-                .first_key_value()
-                .expect("an active flow has requests")
-                .1
-        })
+        let waiting = |(_, org): &(u64, OrganisationKey)| self.flows[org].waiting.values();
+        let first = self
+            .active
+            .iter()
+            .flat_map(move |flow| waiting(flow).take(1));
+        let others = self
+            .active
+            .iter()
+            .flat_map(move |flow| waiting(flow).skip(1));
+        first.chain(others).copied()
     }
 
     fn shift(&mut self, org: OrganisationKey, change: impl FnOnce(u64) -> u64) {
--- a/crates/ebonylug-routing/src/router.rs
+++ b/crates/ebonylug-routing/src/router.rs
@@ -376,12 +376,9 @@
             return (Tokens::ZERO, Tokens(1));
         }
         let offset = Tokens(request.offset);
-        let limit = request.max_output;
-        let expected = self
-            .estimator
-            .expected(request.organisation, request.route, limit);
+        let expected = self.estimator.expected(request.organisation, request.route);
         let rest = (expected - offset).max(expected.scale(OVERRUN));
-        let output = rest.min(limit - offset).max(Tokens(1));
+        let output = rest.min(request.max_output - offset).max(Tokens(1));
         (request.prompt + offset, output)
     }
 
@@ -390,12 +387,11 @@
         let mut entry = self.ledger.end(key)?;
         self.queue.remove(key, &mut entry);
         self.parked.remove(&entry.position);
-        let shares = &mut self.routes[entry.request.route.index()].shares;
-        if let Some((version, epoch)) = entry.drawn
+        if let Some((version, _)) = entry.drawn
             && !entry.ran
-            && epoch == shares.epoch()
         {
-            shares.undo(version);
+            let route = entry.request.route;
+            self.routes[route.index()].shares.undo(version);
         }
         Some(entry)
     }
--- a/crates/ebonylug-routing/src/shares.rs
+++ b/crates/ebonylug-routing/src/shares.rs
@@ -20,9 +20,10 @@
     share: f64,
     /// Requests that the version should have had and did not have.
     owed: f64,
-    /// The last change raised the share. Such a version gets no more than its share, even if
-    /// others have no room.
-    rising: bool,
+    /// The version may take requests above its share, for which another one has no room. A
+    /// version on its way up must not, so this holds for one that has had all traffic, and for
+    /// the largest one when the shares become known.
+    settled: bool,
 }
 
 impl Shares {
@@ -46,8 +47,16 @@
         if same {
             return;
         }
+        // What a version that is gone was owed, or owes, is spread over the others.
+        let debt: f64 = versions.iter().map(|version| version.owed).sum();
+        let part = debt / versions.len().max(1) as f64;
+        versions.iter_mut().for_each(|version| version.owed -= part);
+        let first = self.versions.is_empty();
         self.versions = versions;
         self.epoch += 1;
+        if let Some(index) = self.largest().filter(|_| first) {
+            self.versions[index].settled = true;
+        }
     }
 
     /// Rises with each change of the shares.
@@ -73,7 +82,7 @@
     /// Draws a version for a request. Versions without a share are never drawn.
     pub(crate) fn draw(&mut self, id: RequestId) -> Option<VersionKey> {
         for version in &mut self.versions {
-            version.owed = (version.owed + version.share).clamp(-1.0, 1.0);
+            version.owed += version.share;
         }
         let total: f64 = self.versions.iter().map(|v| v.owed.max(0.0)).sum();
         let mut point = unit(id) * total;
@@ -96,6 +105,9 @@
 
     /// Takes back a draw whose request was not sent.
     pub(crate) fn undo(&mut self, key: VersionKey) {
+        if self.share(key) <= 0.0 {
+            return;
+        }
         for version in &mut self.versions {
             version.owed -= version.share;
             if version.key == key {
@@ -104,14 +116,16 @@
         }
     }
 
-    /// Returns the version that may take a request for which `from` has no room: the one with
-    /// the largest share, unless it is rising itself.
+    /// Returns the version that may take a request for which `from` has no room: the settled
+    /// one with the largest share.
     pub(crate) fn fallback(&self, from: VersionKey) -> Option<VersionKey> {
-        let version = self.versions[self.largest()?];
-        (version.key != from && !version.rising).then_some(version.key)
+        let settled = self.versions.iter().filter(|version| version.settled);
+        let version = settled.max_by(|a, b| a.share.total_cmp(&b.share))?;
+        (version.key != from).then_some(version.key)
     }
 
-    /// Counts a request for `to` that was drawn for `from`.
+    /// Counts a request for `to` that was drawn for `from`. The debt is bounded, or `from`
+    /// would get a burst above its share once it has room again.
     pub(crate) fn fall_back(&mut self, from: VersionKey, to: VersionKey) {
         for version in &mut self.versions {
             if version.key == from {
@@ -124,17 +138,11 @@
 
     fn changed(&self, key: VersionKey, share: f64) -> Version {
         let old = self.versions.iter().find(|v| v.key == key);
-        let before = old.map_or(0.0, |v| v.share);
-        let rising = match before {
-            _ if share >= 1.0 || self.versions.is_empty() || share < before => false,
-            before if share > before => true,
-            _ => old.is_some_and(|v| v.rising),
-        };
         Version {
             key,
             share,
             owed: old.map_or(0.0, |v| v.owed),
-            rising,
+            settled: share >= 1.0 || old.is_some_and(|v| v.settled),
         }
     }
 
--- a/crates/ebonylug-routing/tests/choice.rs
+++ b/crates/ebonylug-routing/tests/choice.rs
@@ -6,7 +6,7 @@
 
 use common::{Fixture, NIGHTLY, URGENT, refusal};
 use ebonylug_core::{Gate, Incarnation, Outcome, Reason, RequestId, Tokens};
-use ebonylug_routing::{Settings, TargetKind};
+use ebonylug_routing::{Action, Settings, TargetKind};
 use rand::{RngExt, SeedableRng};
 
 fn fixture(limits: &[u64]) -> Fixture {
@@ -102,14 +102,14 @@
 fn a_request_above_the_limit_waits_for_an_idle_target() {
     for tier in [URGENT, NIGHTLY] {
         let mut fixture = fixture(&[50]);
+        fixture.load(0, 20, 0);
         let large = fixture.put(tier, 400);
+        let small = fixture.put(tier, 10);
+        assert_eq!(fixture.dispatch().request, small);
         fixture.put(tier, 10);
-        assert_eq!(fixture.dispatch().request, large);
-        fixture.load(0, 20, 0);
-        fixture.put(tier, 400);
         fixture.advance(100);
-        fixture.load(0, 20, 0);
-        fixture.dispatch();
+        fixture.load(0, 0, 0);
+        assert_eq!(fixture.dispatch().request, large);
     }
 }
 
@@ -219,41 +219,55 @@
 }
 
 /// Guards against a version that gets more or less than its share, also while the targets of
-/// either version are full.
+/// either version are full, while requests expire, and while the shares change all the time.
 #[test]
 fn versions_follow_their_shares() {
-    // Limits of both versions, and whether the new one must get its whole share.
+    // Share of the new version, limits of both, and whether it must get its whole share.
     let cases = [
-        (1_000_000, 1_000_000, true),
-        (1_000_000, 1_500, false),
-        (2_000, 1_000_000, false),
+        (0.1, 1_000_000, 1_000_000, true),
+        (0.1, 1_000_000, 1_500, false),
+        (0.1, 2_000, 1_000_000, false),
+        (0.6, 2_000, 1_000_000, false),
     ];
-    for case @ (old, new, whole) in cases {
+    for (case @ (share, old, new, whole), moving) in cases
+        .into_iter()
+        .flat_map(|case| [(case, false), (case, true)])
+    {
         let mut fixture = fixture(&[old]);
         fixture.add(1, new);
-        fixture.shares([0.9, 0.1]);
+        fixture.shares([0.95, 0.05]);
         let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(9);
         let mut counts = [0.0; 2];
         let mut running = Vec::new();
-        for _ in 0..2_000 {
+        for step in 0..2_000 {
+            let change = if moving {
+                f64::from(step % 2) * 1e-6
+            } else {
+                0.0
+            };
+            fixture.shares([1.0 - share - change, share + change]);
             let mut request = fixture.request(NIGHTLY, 400);
             request.id = RequestId(rng.random());
+            request.deadline = Some(fixture.now + Duration::from_secs(1));
             fixture.enqueue(request).expect("the queue has room");
-            for dispatch in fixture.dispatches() {
-                counts[fixture.index(dispatch.target)] += 1.0;
-                running.push(dispatch.offer.attempt);
+            for action in fixture.router.poll(fixture.now) {
+                if let Action::Dispatch(dispatch) = action {
+                    counts[fixture.index(dispatch.target)] += 1.0;
+                    running.push(dispatch.offer.attempt);
+                }
             }
-            let share = 0.1 * (counts[0] + counts[1]);
+            let own = share * (counts[0] + counts[1]);
             // One request beyond the share, and the share of those that wait.
-            let ahead = 0.1 * Settings::default().lookahead as f64;
-            assert!(counts[1] <= share + 1.0 + ahead, "{counts:?} {case:?}");
-            assert!(!whole || counts[1] >= share - 1.0, "{counts:?} {case:?}");
-            if !running.is_empty() && rng.random_bool(0.9) {
+            let ahead = share * Settings::default().lookahead as f64;
+            assert!(counts[1] <= own + 1.0 + ahead, "{counts:?} {case:?}");
+            assert!(!whole || counts[1] >= own - 1.0, "{counts:?} {case:?}");
+            if !running.is_empty() && rng.random_bool(0.7) {
                 let attempt = running.remove(rng.random_range(0..running.len()));
                 fixture.outcome(attempt, Outcome::Answered);
             }
+            fixture.advance(20);
         }
-        assert!(counts[0] > 1_000.0, "{counts:?} {case:?}");
+        assert!(counts[0] + counts[1] > 1_000.0, "{counts:?} {case:?}");
     }
 }
 
--- a/crates/ebonylug-routing/tests/differential.rs
+++ b/crates/ebonylug-routing/tests/differential.rs
@@ -308,7 +308,12 @@
                     let own = matches!(refusal.reason, Reason::Deadline | Reason::Quarantined);
                     shed |= record.tier.is_interactive() && !own;
                 }
-                Action::Abort { request, .. } => assert!(self.end(request).offset > 0),
+                Action::Abort {
+                    request, reason, ..
+                } => {
+                    assert!(self.end(request).offset > 0);
+                    assert_ne!(reason, Reason::Shed, "what ran was shed");
+                }
             }
         }
         assert!(
--- a/crates/ebonylug-routing/tests/ledger.rs
+++ b/crates/ebonylug-routing/tests/ledger.rs
@@ -8,11 +8,11 @@
 use ebonylug_routing::{Action, Disposition, Settings};
 
 /// Guards against a late outcome that ends a request which was cancelled and came again with
-/// the same id.
+/// the same id, and against a cancelled attempt that still counts at its target.
 #[test]
 fn attempt_numbers_rise_over_repeated_ids() {
     let mut fixture = Fixture::new(Settings::default(), 1, &[1_000, 1_000]);
-    let request = fixture.request(URGENT, 100);
+    let request = fixture.request(URGENT, 900);
     let key = fixture
         .enqueue(request.clone())
         .expect("the queue has room");
@@ -109,9 +109,20 @@
         max_refusals: 2,
         ..Settings::default()
     };
-    for (batch, expected) in [(0, Disposition::Shed), (50, Disposition::Requeued)] {
+    // Batch work that runs, a batch request that waits, what becomes of the second refusal.
+    let cases = [
+        (0, false, Disposition::Shed),
+        (50, false, Disposition::Requeued),
+        (0, true, Disposition::Requeued),
+    ];
+    for (batch, waiting, expected) in cases {
         let mut fixture = Fixture::new(settings.clone(), 1, &[1_000; 4]);
-        fixture.load(0, batch, batch);
+        for target in 0..4 {
+            fixture.load(target, 500, batch);
+        }
+        if waiting {
+            fixture.put(NIGHTLY, 600);
+        }
         fixture.put(URGENT, 100);
         for expected in [Disposition::Requeued, expected] {
             let attempt = fixture.dispatch().offer.attempt;
@@ -119,3 +130,17 @@
         }
     }
 }
+
+/// Guards against an organisation that loses its turn because of a refusal.
+#[test]
+fn a_refused_batch_request_keeps_its_turn() {
+    let mut fixture = Fixture::new(Settings::default(), 1, &[1]);
+    let first = fixture.put_for("a", NIGHTLY, 100, None);
+    fixture.put_for("b", NIGHTLY, 100, None);
+    for _ in 0..3 {
+        let dispatch = fixture.dispatch();
+        assert_eq!(dispatch.request, first);
+        fixture.outcome(dispatch.offer.attempt, refusal(Reason::Full));
+        fixture.load(0, 0, 0);
+    }
+}
--- a/crates/ebonylug-routing/tests/queue.rs
+++ b/crates/ebonylug-routing/tests/queue.rs
@@ -205,16 +205,22 @@
     assert_eq!(fixture.enqueue(late), Err(Reason::Deadline));
 }
 
-/// Guards against batch work that takes the room for which an interactive request waits.
+/// Guards against small requests, and batch work, that take the room for which a large or an
+/// interactive request waits; and against batch work that keeps interactive work out.
 #[test]
-fn batch_work_does_not_overtake_waiting_interactive_work() {
-    let mut fixture = Fixture::new(Settings::default(), 1, &[1_000]);
-    fixture.load(0, 600, 0);
-    fixture.put(URGENT, 500);
-    fixture.put(NIGHTLY, 100);
-    assert_eq!(fixture.dispatches(), []);
-    fixture.load(0, 300, 0);
-    assert_eq!(fixture.dispatches().len(), 2);
+fn room_is_kept_for_the_first_request() {
+    for (first, second) in [(URGENT, NIGHTLY), (URGENT, URGENT), (NIGHTLY, NIGHTLY)] {
+        let mut fixture = Fixture::new(Settings::default(), 1, &[1_000]);
+        fixture.load(0, 600, 0);
+        fixture.put(first, 500);
+        fixture.put(second, 100);
+        assert_eq!(fixture.dispatches(), [], "{first:?} {second:?}");
+        fixture.load(0, 300, 0);
+        assert_eq!(fixture.dispatches().len(), 2);
+        fixture.put(URGENT, 150);
+        let room = usize::from(second == NIGHTLY);
+        assert_eq!(fixture.dispatches().len(), room, "{first:?} {second:?}");
+    }
 }
 
 /// Guards against estimates that ignore what was learned or the limit of the request, and
