Prove cold load by the lowest load of a prefill, and count overload physically

Cause: the differential test found two faults in the cold start. An oversized probe proved its own size, because nothing could be compared with it; and the mean load of a prefill could lie above the capacity although most of it ran below. Change: a load counts as proved only up to the lowest load during the prefill, and only if similar prompts are known from the load in the settings; a single stream without a comparison counts towards the end of the cold start but proves no load.

--- a/crates/ebonylug-admission/src/admission.rs
+++ b/crates/ebonylug-admission/src/admission.rs
@@ -95,9 +95,10 @@
         if sample.admitted < self.limit.since() {
             return;
         }
-        let low = self.limit.is_low(&self.settings, sample.load);
+        let low = self.limit.is_low(&self.settings, sample.most);
         let comparable = low || self.baseline.has_similar(sample.prompt);
         if self.limit.is_cold() && !comparable {
+            self.limit.answered(&self.settings, now, sample.most);
             return;
         }
         // A wrong guess of the cached part must not look like a cold target.
@@ -137,7 +138,7 @@
             self.first_token(now, attempt);
         }
         self.step(now);
-        let Some(stream) = self.streams.remove(attempt) else {
+        let Some(stream) = self.streams.remove(now, attempt) else {
             return;
         };
         self.ledger.end(now, attempt, end);
@@ -292,7 +293,6 @@
 
     fn step(&mut self, now: Instant) {
         self.sequence += 1;
-        self.streams.advance(now);
         let used = self.streams.load().tokens;
         self.limit.roll(&self.settings, now, used);
     }
@@ -452,7 +452,7 @@
         }
         stream.alone = suspect;
         stream.epoch = self.epoch;
-        self.streams.insert(offer.attempt, stream);
+        self.streams.insert(now, offer.attempt, stream);
         self.limit.admitted(self.streams.load().tokens);
     }
 
--- a/crates/ebonylug-admission/src/limit.rs
+++ b/crates/ebonylug-admission/src/limit.rs
@@ -28,6 +28,22 @@
     pub(crate) streams: u32,
 }
 
+impl Load {
+    pub(crate) fn min(self, other: Load) -> Load {
+        Load {
+            tokens: self.tokens.min(other.tokens),
+            streams: self.streams.min(other.streams),
+        }
+    }
+
+    pub(crate) fn max(self, other: Load) -> Load {
+        Load {
+            tokens: self.tokens.max(other.tokens),
+            streams: self.streams.max(other.streams),
+        }
+    }
+}
+
 /// How the limit changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -112,11 +128,11 @@
     /// been proved since then are a little higher; learning from them would prove a little more
     /// each time, without end.
     pub(crate) fn is_low(&self, settings: &Settings, load: Load) -> bool {
-        let tokens = match self.phase {
-            Phase::Cold => settings.cold_limit,
-            Phase::SlowStart | Phase::Steady => Tokens(self.value.0 / 4).max(settings.floor),
-        };
-        load.streams <= 1 || load.tokens <= tokens
+        if self.is_cold() {
+            return load.tokens <= settings.cold_limit;
+        }
+        let quarter = Tokens(self.value.0 / 4);
+        load.streams <= 1 || load.tokens <= quarter.max(settings.floor)
     }
 
     /// Reports whether a cold target may get `cost` more work beside `load`.
@@ -156,7 +172,7 @@
         ratio: f64,
     ) {
         if self.is_cold() {
-            self.prove(settings, now, ratio, sample.load);
+            self.prove(settings, now, ratio, sample.least);
             return;
         }
         if sample.admitted >= self.changed {
@@ -164,6 +180,16 @@
         }
     }
 
+    /// Records a first token in a cold start whose latency cannot be compared with another.
+    ///
+    /// It proves nothing about the load. A single stream counts towards the end of the cold start,
+    /// or a target that is offered only large requests would stay cold.
+    pub(crate) fn answered(&mut self, settings: &Settings, now: Instant, load: Load) {
+        if load.streams <= 1 {
+            self.prove(settings, now, 1.0, Load::default());
+        }
+    }
+
     /// Records the relative time between tokens, measured from `from`.
     pub(crate) fn between_tokens(&mut self, settings: &Settings, from: Instant, ratio: f64) {
         if from >= self.changed {
--- a/crates/ebonylug-admission/src/stream.rs
+++ b/crates/ebonylug-admission/src/stream.rs
@@ -10,9 +10,6 @@
 /// Single gaps are useless: tokens that were buffered together arrive at the same instant.
 const DECODE_SPAN: u64 = 16;
 
-/// Errors of the sums over time that must not be rounded up.
-const ROUNDING: f64 = 1e-6;
-
 /// An attempt that runs inside the target.
 #[derive(Debug)]
 pub(crate) struct Stream {
@@ -25,8 +22,8 @@
     pub(crate) admitted: Instant,
     /// The life of the target in which the attempt was admitted.
     pub(crate) epoch: u64,
-    /// The sums over time at the admission, from which the mean load is computed.
-    area: Area,
+    /// The lowest and highest load during the prefill, once time has passed.
+    range: Option<(Load, Load)>,
     /// Whether nothing may run beside this attempt, because it may crash the target.
     pub(crate) alone: bool,
     first: Option<Instant>,
@@ -42,8 +39,10 @@
     pub(crate) time: Duration,
     pub(crate) prompt: Tokens,
     pub(crate) cached: Tokens,
-    /// The mean load during the prefill.
-    pub(crate) load: Load,
+    /// The lowest load during the prefill.
+    pub(crate) least: Load,
+    /// The highest load during the prefill.
+    pub(crate) most: Load,
 }
 
 /// A time between tokens, measured over several tokens.
@@ -63,7 +62,7 @@
             repeat: offer.repeat,
             admitted: now,
             epoch: 0,
-            area: Area::default(),
+            range: None,
             alone: false,
             first: None,
             delivered: Tokens::ZERO,
@@ -114,15 +113,8 @@
     preempting: Tokens,
     preemptible: Tokens,
     alone: u32,
-    area: Area,
-    at: Option<Instant>,
-}
-
-/// The load summed over time, in tokens and streams times seconds.
-#[derive(Clone, Copy, Debug, Default)]
-struct Area {
-    tokens: f64,
-    streams: f64,
+    /// When the load last changed.
+    changed: Option<Instant>,
 }
 
 impl Streams {
@@ -146,33 +138,6 @@
         }
     }
 
-    /// Adds the time since the last call to the sums over time.
-    pub(crate) fn advance(&mut self, now: Instant) {
-        let last = self.at.replace(now).unwrap_or(now);
-        let elapsed = now.saturating_duration_since(last).as_secs_f64();
-        self.area.tokens += self.used.as_f64() * elapsed;
-        self.area.streams += self.running.len() as f64 * elapsed;
-    }
-
-    /// Returns the mean load since a stream was admitted, rounded up.
-    ///
-    /// The load at one instant would be misleading: streams that are admitted or end together see
-    /// a low load, although the target was full for most of the time.
-    fn mean_load(&self, now: Instant, stream: &Stream) -> Load {
-        let elapsed = now.saturating_duration_since(stream.admitted).as_secs_f64();
-        if elapsed == 0.0 {
-            return Load {
-                tokens: stream.cost,
-                streams: 1,
-            };
-        }
-        let mean = |now: f64, then: f64| ((now - then) / elapsed - ROUNDING).ceil();
-        Load {
-            tokens: Tokens(mean(self.area.tokens, stream.area.tokens) as u64),
-            streams: mean(self.area.streams, stream.area.streams) as u32,
-        }
-    }
-
     /// Returns the work that stays when the cancelled streams have ended.
     pub(crate) fn active(&self) -> Tokens {
         self.used - self.preempting
@@ -197,8 +162,8 @@
         self.alone > 0
     }
 
-    pub(crate) fn insert(&mut self, attempt: AttemptId, mut stream: Stream) {
-        stream.area = self.area;
+    pub(crate) fn insert(&mut self, now: Instant, attempt: AttemptId, stream: Stream) {
+        self.settle(now);
         self.used += stream.cost;
         if stream.is_preemptible() {
             self.preemptible += stream.cost;
@@ -207,7 +172,8 @@
         self.running.insert(attempt, stream);
     }
 
-    pub(crate) fn remove(&mut self, attempt: AttemptId) -> Option<Stream> {
+    pub(crate) fn remove(&mut self, now: Instant, attempt: AttemptId) -> Option<Stream> {
+        self.settle(now);
         let stream = self.running.remove(&attempt)?;
         self.used -= stream.cost;
         if stream.preempting {
@@ -238,12 +204,19 @@
         if stream.first.is_some() {
             return None;
         }
+        let load = self.load();
+        let (least, most) = match stream.range {
+            Some(range) if self.has_passed(now) => widen(range, load),
+            Some(range) => range,
+            None => (load, load),
+        };
         let sample = FirstToken {
             admitted: stream.admitted,
             time: now.saturating_duration_since(stream.admitted),
             prompt: stream.prompt,
             cached: stream.cached,
-            load: self.mean_load(now, stream),
+            least,
+            most,
         };
         let stream = self.running.get_mut(&attempt)?;
         stream.first = Some(now);
@@ -261,8 +234,10 @@
     ) -> Option<DecodeSample> {
         let stream = self.running.get_mut(&attempt)?;
         let sample = stream.deliver(now, tokens);
-        let actual = stream.prompt + stream.delivered;
-        if grow && actual > stream.cost {
+        if grow && stream.prompt + stream.delivered > stream.cost {
+            self.settle(now);
+            let stream = self.running.get_mut(&attempt)?;
+            let actual = stream.prompt + stream.delivered;
             let excess = actual - stream.cost;
             stream.cost = actual;
             self.used += excess;
@@ -275,4 +250,31 @@
         }
         sample
     }
+
+    /// Extends the ranges by the load since the last change. To be called before each change.
+    ///
+    /// A load that lasted no time is left out: streams that start or end at the same instant
+    /// would otherwise see a low load, although the target was full all the time.
+    fn settle(&mut self, now: Instant) {
+        if !self.has_passed(now) {
+            return;
+        }
+        let load = self.load();
+        for stream in self.running.values_mut().filter(|s| s.first.is_none()) {
+            stream.range = Some(
+                stream
+                    .range
+                    .map_or((load, load), |range| widen(range, load)),
+            );
+        }
+        self.changed = Some(now);
+    }
+
+    fn has_passed(&self, now: Instant) -> bool {
+        self.changed.is_none_or(|changed| now > changed)
+    }
+}
+
+fn widen((least, most): (Load, Load), load: Load) -> (Load, Load) {
+    (least.min(load), most.max(load))
 }
