--- a/crates/ebonylug-demo/src/client.rs
+++ b/crates/ebonylug-demo/src/client.rs
@@ -14,7 +14,7 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A whole answer.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Answer {
     /// The status.
     pub status: StatusCode,
--- a/crates/ebonylug-demo/src/deployment.rs
+++ b/crates/ebonylug-demo/src/deployment.rs
@@ -119,6 +119,17 @@
         self.platform.set_instances(rows);
     }
 
+    /// Starts one more entry and adds it to the instance list, without waiting until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the entry cannot start.
+    pub async fn start_entry(&mut self, index: usize, seed: u64) -> Result<()> {
+        self.add_entry(index, seed).await?;
+        self.list();
+        Ok(())
+    }
+
     async fn add_entry(&mut self, index: usize, seed: u64) -> Result<()> {
         let zones: Vec<&Name> = self
             .document
--- a/crates/ebonylug-demo/src/lib.rs
+++ b/crates/ebonylug-demo/src/lib.rs
@@ -6,12 +6,15 @@
 mod client;
 mod deployment;
 mod load;
+mod relay;
 pub mod story;
 mod verdict;
 
 pub use client::{Answer, Caller};
 pub use deployment::{Deployment, Error, Fake, Node, OPERATOR_TOKEN, Plan, Result};
+pub use ebonylug_standin::{Engine, Service};
 pub use load::{Call, Load, Record, Seen, Stream};
+pub use relay::Relay;
 pub use verdict::{Verdict, judge, runs, summary};
 
 /// The sample configuration of the fibras division.
--- /dev/null
+++ b/crates/ebonylug-demo/src/relay.rs
@@ -0,0 +1,113 @@
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::Result;
+
+/// A TCP relay on loopback that can lose track of its connections, as a middlebox does.
+#[derive(Debug)]
+pub struct Relay {
+    address: SocketAddr,
+    /// The number of the present generation of connections; older ones are silent.
+    generation: Arc<watch::Sender<u64>>,
+    accepted: Arc<AtomicUsize>,
+    _accepting: JoinSet<()>,
+}
+
+impl Relay {
+    /// Starts a relay to `target`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn start(target: SocketAddr) -> Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let generation = Arc::new(watch::Sender::new(0));
+        let mut accepting = JoinSet::new();
+        let accepted = Arc::new(AtomicUsize::new(0));
+        accepting.spawn(accept(
+            listener,
+            target,
+            Arc::clone(&generation),
+            Arc::clone(&accepted),
+        ));
+        Ok(Relay {
+            address,
+            generation,
+            accepted,
+            _accepting: accepting,
+        })
+    }
+
+    /// Returns the address to connect to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the number of connections that were made.
+    #[must_use]
+    pub fn accepted(&self) -> usize {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
+    /// Makes all open connections silent for good: they stay open, and nothing passes any more. New
+    /// connections work.
+    pub fn silence(&self) {
+        self.generation.send_modify(|generation| *generation += 1);
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    generation: Arc<watch::Sender<u64>>,
+    accepted: Arc<AtomicUsize>,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        let Ok((near, _)) = listener.accept().await else {
+            return;
+        };
+        let Ok(far) = TcpStream::connect(target).await else {
+            continue;
+        };
+        accepted.fetch_add(1, Ordering::Relaxed);
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        connections.spawn(pump(near_read, far_write, generation.subscribe()));
+        connections.spawn(pump(far_read, near_write, generation.subscribe()));
+    }
+}
+
+/// Passes bytes on until the connection ends. Once silent, it keeps both halves open.
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut generation: watch::Receiver<u64>,
+) {
+    let mut buffer = vec![0; 16 << 10];
+    loop {
+        let read = tokio::select! {
+            biased;
+            changed = generation.changed() => match changed {
+                Ok(()) => return std::future::pending().await,
+                Err(_) => return,
+            },
+            read = from.read(&mut buffer) => read,
+        };
+        let Ok(count) = read else {
+            return;
+        };
+        if count == 0 || to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/ebonylug-entry/src/lib.rs
+++ b/crates/ebonylug-entry/src/lib.rs
@@ -172,7 +172,7 @@
             moves,
             peers: Peers::new(settings.instance.clone(), incarnation, settings.key.clone()),
             leadership: Leadership::default(),
-            platform: platform.clone(),
+            platform,
             recorder,
             stop: Stop::new(),
             metrics: Metrics::new(),
