Add the operators' command line

Cause: operators could reach the resource API only with a general HTTP client.

Change: ebonylugctl shows and changes resources, follows changes, drains and restores zones, declares moves and waits for their end, shows events in causal order, lists and releases quarantined requests, and hashes tokens. The token is taken from the environment or a file and never shown. A zone is changed with If-Match and tried again after a race; a move is created with If-None-Match, so that it never overwrites another. A lost reply to a change is reported as unknown.

GET /api/v1/events and the phases of moves in the status are tested only against the fake, since no entry serves them yet.

--- /dev/null
+++ b/crates/ebonylugctl/src/api.rs
@@ -0,0 +1,242 @@
+//! The resource API of an entry.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use ebonylug_core::{Fingerprint, Name, Revision};
+use ebonylug_events::Event;
+use ebonylug_net::client::{self, Client};
+use ebonylug_resource::{AnyResource, Expected, Kind, Problem};
+
+use crate::connection::Server;
+use crate::{Error, Result};
+
+/// Time for an answer. A change may take several calls of the platform's store, each of up to 2 s.
+const TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for the answer to a watch, which the entry holds back for up to 20 s.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(45);
+/// Bound on the body of an answer, in bytes. The whole configuration at 6,400 organisations has
+/// about 1.3 MB; events of some hundred processes are the largest answer.
+const MAX_BODY_BYTES: usize = 256 << 20;
+
+/// Resources of one revision of the configuration.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct List {
+    /// The revision that the list shows.
+    pub revision: Revision,
+    /// The resources.
+    pub items: Vec<AnyResource>,
+}
+
+/// What has changed since a revision.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Changes {
+    /// The revision in force.
+    pub revision: Revision,
+    /// Whether `changed` is the whole configuration, since the revision asked for is too old.
+    pub full: bool,
+    /// The resources that were created or replaced.
+    pub changed: Vec<AnyResource>,
+    /// The resources that were removed.
+    pub deleted: Vec<Deleted>,
+}
+
+/// A resource that was removed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Deleted {
+    /// Its kind.
+    pub kind: Kind,
+    /// Its name.
+    pub name: Name,
+}
+
+/// What all processes have recorded.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Events {
+    /// One list for each process.
+    pub lists: Vec<Vec<Event>>,
+    /// The processes that did not answer.
+    #[serde(default)]
+    pub unreachable: Vec<Box<str>>,
+}
+
+/// The requests that are refused because they crash targets.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Quarantined {
+    /// Their fingerprints.
+    pub quarantined: Vec<Fingerprint>,
+}
+
+/// Whether a change is published or only checked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// It is published.
+    Publish,
+    /// It is checked.
+    DryRun,
+}
+
+impl Mode {
+    pub fn of(dry_run: bool) -> Self {
+        if dry_run { Mode::DryRun } else { Mode::Publish }
+    }
+
+    fn query(self) -> &'static str {
+        match self {
+            Mode::Publish => "",
+            Mode::DryRun => "?dryRun=true",
+        }
+    }
+}
+
+/// A client of the resource API.
+pub struct Api {
+    server: Server,
+    authorization: HeaderValue,
+    client: Client,
+}
+
+impl Api {
+    pub fn new(server: Server, authorization: HeaderValue) -> Self {
+        Api {
+            server,
+            authorization,
+            client: Client::new(),
+        }
+    }
+
+    pub async fn list(&self, kind: Kind) -> Result<List> {
+        self.read(&format!("resources/{}", kind.plural()), TIMEOUT)
+            .await
+    }
+
+    pub async fn get(&self, kind: Kind, name: &Name) -> Result<AnyResource> {
+        self.read(&path(kind, name), TIMEOUT).await
+    }
+
+    pub async fn put(&self, resource: &AnyResource, expected: Expected) -> Result<AnyResource> {
+        let body = serde_json::to_vec(resource).expect("resources are plain data");
+        let path = path(resource.kind(), resource.name());
+        let call = self.call(Method::PUT, &path, body.into(), expected);
+        parse(&self.send(call, TIMEOUT).await?)
+    }
+
+    pub async fn delete(&self, kind: Kind, name: &Name, mode: Mode) -> Result<()> {
+        let path = path(kind, name) + mode.query();
+        let call = self.call(Method::DELETE, &path, Bytes::new(), Expected::Any);
+        self.send(call, TIMEOUT).await?;
+        Ok(())
+    }
+
+    /// Creates or replaces the resources in a text, all or none.
+    pub async fn apply(&self, text: String, mode: Mode) -> Result<List> {
+        let path = format!("apply{}", mode.query());
+        let call = self.call(Method::POST, &path, text.into(), Expected::Any);
+        let answer: Value = parse(&self.send(call, TIMEOUT).await?)?;
+        // One resource is answered as itself, and several as a list.
+        if answer.get("items").is_some() {
+            return serde_json::from_value(answer).map_err(|error| unexpected(&error));
+        }
+        let item: AnyResource =
+            serde_json::from_value(answer).map_err(|error| unexpected(&error))?;
+        Ok(List {
+            revision: item.metadata().revision,
+            items: vec![item],
+        })
+    }
+
+    /// Waits for changes after a revision. Without any, the answer comes after some time.
+    pub async fn watch(&self, since: Revision) -> Result<Changes> {
+        self.read(&format!("watch?since={since}"), WATCH_TIMEOUT)
+            .await
+    }
+
+    pub async fn events(&self) -> Result<Events> {
+        self.read("events", TIMEOUT).await
+    }
+
+    pub async fn quarantined(&self) -> Result<Quarantined> {
+        self.read("quarantine", TIMEOUT).await
+    }
+
+    pub async fn release(&self, fingerprint: Fingerprint) -> Result<Quarantined> {
+        let path = format!("quarantine/{fingerprint}");
+        let call = self.call(Method::DELETE, &path, Bytes::new(), Expected::Any);
+        parse(&self.send(call, TIMEOUT).await?)
+    }
+
+    async fn read<T: DeserializeOwned>(&self, path: &str, timeout: Duration) -> Result<T> {
+        let call = self.call(Method::GET, path, Bytes::new(), Expected::Any);
+        parse(&self.send(call, timeout).await?)
+    }
+
+    fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        expected: Expected,
+    ) -> Request<Full<Bytes>> {
+        let mut call = Request::builder()
+            .method(method)
+            .uri(format!("{}/api/v1/{path}", self.server))
+            .header(header::AUTHORIZATION, &self.authorization)
+            .header(header::CONTENT_TYPE, "application/json");
+        call = match expected {
+            Expected::Any => call,
+            Expected::Absent => call.header(header::IF_NONE_MATCH, "*"),
+            Expected::Revision(revision) => {
+                call.header(header::IF_MATCH, format!("\"{revision}\""))
+            }
+        };
+        call.body(Full::new(body))
+            .expect("names are parts of paths")
+    }
+
+    async fn send(&self, call: Request<Full<Bytes>>, timeout: Duration) -> Result<Bytes> {
+        let change = call.method() != Method::GET && call.uri().query() != Some("dryRun=true");
+        let failed = |reason| Error::NoAnswer {
+            server: self.server,
+            reason,
+            change,
+        };
+        let answer = self.client.send(call, timeout).await.map_err(failed)?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_BODY_BYTES).collect();
+        let body = match tokio::time::timeout(TIMEOUT, body).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) => return Err(failed(client::Error::Lost(error.to_string().into()))),
+            Err(_) => return Err(failed(client::Error::Timeout)),
+        };
+        if status.is_success() {
+            return Ok(body);
+        }
+        Err(refused(status, &body))
+    }
+}
+
+fn path(kind: Kind, name: &Name) -> String {
+    format!("resources/{}/{name}", kind.plural())
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|error| unexpected(&error))
+}
+
+fn unexpected(error: &serde_json::Error) -> Error {
+    Error::Answer(error.to_string().into())
+}
+
+/// Reads a problem. An answer that is none comes from something else than an entry.
+fn refused(status: StatusCode, body: &[u8]) -> Error {
+    match serde_json::from_slice::<Problem>(body) {
+        Ok(problem) => problem.into(),
+        Err(_) => Error::Answer(format!("status {status} without a problem").into()),
+    }
+}
--- /dev/null
+++ b/crates/ebonylugctl/src/error.rs
@@ -0,0 +1,126 @@
+use std::fmt;
+use std::io;
+
+use ebonylug_net::client;
+use ebonylug_resource::Problem;
+
+use crate::Outcome;
+use crate::connection::Server;
+
+/// Why a command failed.
+#[derive(Debug)]
+pub enum Error {
+    /// An argument, a setting of the environment or an input file is not valid.
+    Arguments(Box<str>),
+    /// The entry did not answer.
+    NoAnswer {
+        /// The entry.
+        server: Server,
+        /// How the call failed.
+        reason: client::Error,
+        /// Whether the call would have changed something.
+        change: bool,
+    },
+    /// The answer is not one of the resource API.
+    Answer(Box<str>),
+    /// The entry has refused the operation.
+    Problem(Box<Problem>),
+    /// Somebody else has removed what the command works on.
+    Gone(Box<str>),
+    /// The output could not be written.
+    Output(io::Error),
+}
+
+/// The result of a command or of a part of it.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+impl Error {
+    pub(crate) fn arguments(reason: impl Into<Box<str>>) -> Self {
+        Error::Arguments(reason.into())
+    }
+
+    /// Returns the outcome of a command that ends with this error.
+    #[must_use]
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Error::Arguments(_) => Outcome::Refused,
+            Error::NoAnswer { .. } | Error::Answer(_) => Outcome::NoAnswer,
+            Error::Gone(_) => Outcome::Conflict,
+            Error::Problem(problem) => match problem.status {
+                401 | 403 => Outcome::Denied,
+                409 => Outcome::Conflict,
+                400..500 => Outcome::Refused,
+                _ => Outcome::NoAnswer,
+            },
+            // A reader that has seen enough, such as `head`, closes the pipe.
+            Error::Output(error) if error.kind() == io::ErrorKind::BrokenPipe => Outcome::Done,
+            Error::Output(_) => Outcome::Refused,
+        }
+    }
+
+    /// Reports whether a concurrent change won.
+    pub(crate) fn is_conflict(&self) -> bool {
+        matches!(self, Error::Problem(problem) if problem.status == 409)
+    }
+
+    /// Reports whether the resource does not exist.
+    pub(crate) fn is_absent(&self) -> bool {
+        matches!(self, Error::Problem(problem) if problem.status == 404)
+    }
+
+    /// Reports whether the same call may succeed later without a change of the arguments.
+    pub(crate) fn is_passing(&self) -> bool {
+        match self {
+            Error::NoAnswer { .. } => true,
+            Error::Problem(problem) => problem.status >= 500,
+            _ => false,
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Arguments(reason) => write!(f, "ebonylugctl: {reason}"),
+            Error::NoAnswer {
+                server,
+                reason,
+                change,
+            } => {
+                write!(f, "ebonylugctl: {server}: {reason}")?;
+                match (change, reason) {
+                    (false, _) => Ok(()),
+                    (true, client::Error::Connect) => f.write_str("; nothing was changed"),
+                    (true, _) => f.write_str("; it is not known whether the change was applied"),
+                }
+            }
+            Error::Answer(reason) => write!(f, "ebonylugctl: unexpected answer: {reason}"),
+            Error::Problem(problem) => write_problem(f, problem),
+            Error::Gone(what) => write!(f, "ebonylugctl: {what} was deleted by somebody else"),
+            Error::Output(error) => write!(f, "ebonylugctl: cannot write the output: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<io::Error> for Error {
+    fn from(error: io::Error) -> Self {
+        Error::Output(error)
+    }
+}
+
+impl From<Problem> for Error {
+    fn from(problem: Problem) -> Self {
+        Error::Problem(Box::new(problem))
+    }
+}
+
+/// Writes resource, field and reason if the problem names them, and otherwise title and detail.
+fn write_problem(f: &mut fmt::Formatter<'_>, problem: &Problem) -> fmt::Result {
+    match (&problem.resource, &problem.field, &problem.reason) {
+        (Some(resource), Some(field), Some(reason)) => write!(f, "{resource}: {field}: {reason}"),
+        (Some(resource), None, Some(reason)) => write!(f, "{resource}: {reason}"),
+        _ => write!(f, "{}: {}", problem.title, problem.detail),
+    }
+}
--- a/crates/ebonylugctl/src/main.rs
+++ b/crates/ebonylugctl/src/main.rs
@@ -1,3 +1,36 @@
 //! The operators' command line.
 
-fn main() {}
+use std::io;
+use std::process::ExitCode;
+
+use bpaf::{Args, ParseFailure};
+
+use ebonylugctl::{Console, Environment, Outcome};
+
+/// Width at which help texts are wrapped.
+const WIDTH: usize = 100;
+
+fn main() -> ExitCode {
+    let arguments = match ebonylugctl::parse(Args::current_args()) {
+        Ok(arguments) => arguments,
+        Err(failure) => {
+            failure.print_message(WIDTH);
+            return match failure {
+                ParseFailure::Stderr(_) => Outcome::Refused.into(),
+                ParseFailure::Stdout(..) | ParseFailure::Completion(_) => Outcome::Done.into(),
+            };
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime can be built");
+    let mut console = Console {
+        input: &mut io::stdin().lock(),
+        output: &mut io::stdout().lock(),
+        errors: &mut io::stderr().lock(),
+    };
+    let environment = Environment::of_process();
+    let run = ebonylugctl::run(&arguments, &environment, &mut console);
+    runtime.block_on(run).into()
+}
--- /dev/null
+++ b/crates/ebonylugctl/src/outcome.rs
@@ -0,0 +1,45 @@
+use std::process::ExitCode;
+
+/// What became of a command. Each outcome has its own exit code.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Outcome {
+    /// The command is done.
+    Done,
+    /// The entry or its store did not answer.
+    NoAnswer,
+    /// The arguments are not valid, or validation has refused the change.
+    Refused,
+    /// A concurrent change won.
+    Conflict,
+    /// The move was rolled back: the old version keeps the traffic.
+    RolledBack,
+    /// The move was refused and did not begin.
+    MoveRefused,
+    /// What was waited for did not happen in time.
+    TimedOut,
+    /// The token does not permit the operation.
+    Denied,
+}
+
+impl Outcome {
+    /// Returns the exit code.
+    #[must_use]
+    pub const fn code(self) -> u8 {
+        match self {
+            Outcome::Done => 0,
+            Outcome::NoAnswer => 1,
+            Outcome::Refused => 2,
+            Outcome::Conflict => 3,
+            Outcome::RolledBack => 4,
+            Outcome::MoveRefused => 5,
+            Outcome::TimedOut => 6,
+            Outcome::Denied => 7,
+        }
+    }
+}
+
+impl From<Outcome> for ExitCode {
+    fn from(outcome: Outcome) -> ExitCode {
+        ExitCode::from(outcome.code())
+    }
+}
