Add metrics of entry and sidecar, and tests of bad input

Cause: operators could not see load, refusals or lateness, and bad input was not tested. Change: counters and gauges by opentelemetry on /metrics of each process; a table of ten kinds of bad input. Measured: each bad input gets its status and 'not-run', and no target ran anything.

--- a/crates/ebonylug-core/src/message.rs
+++ b/crates/ebonylug-core/src/message.rs
@@ -89,6 +89,31 @@
     Invalid,
 }
 
+impl Reason {
+    /// Returns the word that stands for the reason in messages, headers and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Reason::Full => "full",
+            Reason::Cold => "cold",
+            Reason::Down => "down",
+            Reason::Leaving => "leaving",
+            Reason::ZoneClosed => "zone_closed",
+            Reason::Stale => "stale",
+            Reason::Revoked => "revoked",
+            Reason::Incarnation => "incarnation",
+            Reason::Quarantined => "quarantined",
+            Reason::Deadline => "deadline",
+            Reason::Shed => "shed",
+            Reason::QueueFull => "queue_full",
+            Reason::NoTarget => "no_target",
+            Reason::RetryBudget => "retry_budget",
+            Reason::Store => "store",
+            Reason::Invalid => "invalid",
+        }
+    }
+}
+
 /// A refusal with an optional hint when to try again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Refusal {
--- a/crates/ebonylug-demo/tests/path.rs
+++ b/crates/ebonylug-demo/tests/path.rs
@@ -2,6 +2,7 @@
 
 use ebonylug_demo::{Caller, Deployment, FIBRAS, Plan};
 use ebonylug_standin::{Engine, EngineSettings};
+use http::Method;
 
 fn engine() -> EngineSettings {
     EngineSettings {
@@ -46,3 +47,85 @@
         }
     }
 }
+
+/// Guards against metrics and health pages that are not served, or that count nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn metrics_count_what_was_served() {
+    let deployment = fibras().await;
+    let caller = Caller::new(deployment.entry(0), "fibras-demo-token");
+    let answer = caller
+        .chat("sisal", "quotation", "a quotation", 4, false)
+        .await;
+    assert_eq!(answer.expect("an answer arrives").status, 200);
+    let page = async |path: &str| {
+        let page = caller.send(Method::GET, path, &[], "").await;
+        page.expect("the entry answers")
+    };
+    assert_eq!(page("/healthz").await.status, 200);
+    assert_eq!(page("/readyz").await.status, 200);
+    let metrics = page("/metrics").await.text();
+    let answered =
+        "ebonylug_requests_total{outcome=\"answered\",reason=\"\",tier=\"interactive-0\"} 1";
+    assert!(metrics.contains(answered), "{metrics}");
+    assert!(metrics.contains("ebonylug_revision 1"), "{metrics}");
+}
+
+/// Guards against bad input that is run, lost, or answered without a clear statement.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_input_is_refused_as_not_run() {
+    let deployment = fibras().await;
+    let chat = "/v1/chat/completions";
+    let good = "{\"model\":\"sisal\",\"messages\":[]}";
+    let (post, token) = (Method::POST, "fibras-demo-token");
+    let large = "x".repeat((16 << 20) + 1);
+    let cases: [(&str, &Method, &str, &[(&str, &str)], &str, u16); 10] = [
+        ("wrong", &post, chat, &[], good, 401),
+        (token, &post, chat, &[], "{\"model\":", 400),
+        (token, &post, chat, &[], "{\"messages\":[]}", 400),
+        (
+            token,
+            &post,
+            chat,
+            &[],
+            "{\"model\":\"none\",\"messages\":[]}",
+            404,
+        ),
+        (token, &post, chat, &[("ebonylug-tier", "none")], good, 400),
+        (
+            token,
+            &post,
+            chat,
+            &[("ebonylug-deadline", "soon")],
+            good,
+            400,
+        ),
+        (token, &post, "/none", &[], good, 404),
+        (token, &Method::GET, chat, &[], "", 405),
+        (token, &post, "/services/orders", &[], "{}", 400),
+        (
+            token,
+            &post,
+            "/services/orders",
+            &[("idempotency-key", "k")],
+            &large,
+            413,
+        ),
+    ];
+    for (token, method, path, headers, body, status) in cases {
+        let caller = Caller::new(deployment.entry(0), token);
+        let answer = caller.send(method.clone(), path, headers, body).await;
+        let answer = answer.expect("the entry answers");
+        assert_eq!(
+            answer.status,
+            status,
+            "{path} {headers:?}: {}",
+            answer.text()
+        );
+        assert_eq!(answer.header("ebonylug-outcome"), Some("not-run"), "{path}");
+    }
+    let total: u64 = ebonylug_demo::runs(&deployment)
+        .iter()
+        .map(|runs| runs.total)
+        .sum();
+    assert_eq!(total, 0);
+}
--- a/crates/ebonylug-entry/src/caller.rs
+++ b/crates/ebonylug-entry/src/caller.rs
@@ -266,6 +266,7 @@
     let (sender, parts) = mpsc::channel(PARTS_AHEAD);
     let stream = resolved.stream;
     let job = Job {
+        tier: resolved.tier,
         call: Arc::new(resolved.call.clone()),
         sink: Sink::new(sender, stream, shared.settings.stall),
         streamed: stream,
--- a/crates/ebonylug-entry/src/dispatcher.rs
+++ b/crates/ebonylug-entry/src/dispatcher.rs
@@ -4,12 +4,13 @@
 
 use tokio::sync::Notify;
 
-use ebonylug_core::{Clock, LoadReport, Name, Offer, Outcome, Reason, Refusal, Tokens};
+use ebonylug_core::{Clock, LoadReport, Name, Offer, Outcome, Reason, Refusal, Tier, Tokens};
 use ebonylug_events::{EventKind, Subject};
 use ebonylug_net::record::Recorder;
 use ebonylug_routing::{Action, Disposition, Request, RequestKey, Router, TargetKey};
 
 use crate::attempt::{Call, Peer};
+use crate::instruments::Instruments;
 use crate::moves::{Moves, Observation, is_base};
 use crate::sink::{Part, Sink};
 use crate::view::Current;
@@ -20,6 +21,8 @@
 /// A request of a caller that has not ended.
 #[derive(Debug)]
 pub struct Job {
+    /// The tier of the request.
+    pub tier: Tier,
     /// The call, as it is passed to the target.
     pub call: Arc<Call>,
     /// Where the answer goes.
@@ -36,6 +39,7 @@
     current: Arc<Current>,
     moves: Arc<Moves>,
     recorder: Arc<Recorder>,
+    instruments: Arc<Instruments>,
     state: Mutex<State>,
     wake: Notify,
     runtime: tokio::runtime::Handle,
@@ -67,12 +71,14 @@
         current: Arc<Current>,
         moves: Arc<Moves>,
         recorder: Arc<Recorder>,
+        instruments: Arc<Instruments>,
     ) -> Self {
         Dispatcher {
             clock,
             current,
             moves,
             recorder,
+            instruments,
             state: Mutex::new(State {
                 router,
                 jobs: HashMap::new(),
@@ -240,6 +246,7 @@
             Disposition::Ended,
             "an attempt has one outcome"
         );
+        self.instruments.ended(attempt.offer.tier, &part);
         job.sink.finish(part).await;
     }
 
@@ -254,6 +261,9 @@
         };
         let view = self.current.view();
         let base = is_base(&view.document, &attempt.route, &attempt.version);
+        if let Some(first) = sink.first() {
+            self.instruments.first(attempt.offer.tier, first);
+        }
         let observation = Observation {
             answered,
             first: sink.first(),
@@ -268,6 +278,7 @@
         let Some(mut job) = state.jobs.remove(&key) else {
             return;
         };
+        self.instruments.ended(job.tier, &part);
         self.runtime
             .spawn(async move { job.sink.finish(part).await });
     }
--- a/crates/ebonylug-entry/src/http.rs
+++ b/crates/ebonylug-entry/src/http.rs
@@ -12,12 +12,23 @@
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/healthz") => serve::text(StatusCode::OK, "ok\n"),
         (&Method::GET, "/readyz") => ready(&shared),
-        (&Method::GET, "/metrics") => serve::text(StatusCode::OK, shared.metrics.render()),
+        (&Method::GET, "/metrics") => metrics(&shared),
         (_, path) if path.starts_with(operator::PREFIX) => operator::handle(shared, request).await,
         _ => caller::handle(shared, request).await,
     }
 }
 
+fn metrics(shared: &Shared) -> Answer {
+    let now = shared.clock.now();
+    let (backlog, risk) = shared
+        .dispatcher
+        .update(|router| (router.backlog(), router.batch_at_risk(now).len()));
+    let text = shared
+        .instruments
+        .render(&backlog, risk, shared.current.revision());
+    serve::text(StatusCode::OK, text)
+}
+
 /// An entry without a configuration is not ready: it never serves an old default.
 fn ready(shared: &Shared) -> Answer {
     if shared.stop.phase() != Phase::Running {
--- a/crates/ebonylug-entry/src/lib.rs
+++ b/crates/ebonylug-entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod driver;
 mod fleet;
 mod http;
+mod instruments;
 mod leadership;
 mod moves;
 mod operator;
@@ -41,7 +42,6 @@
 
 use ebonylug_core::{Clock, Incarnation, Revision};
 use ebonylug_events::Origin;
-use ebonylug_net::metrics::Metrics;
 use ebonylug_net::record::Recorder;
 use ebonylug_net::serve::Server;
 use ebonylug_net::stop::{Phase, Stop};
@@ -51,6 +51,7 @@
 use crate::configuration::Configuration;
 use crate::dispatcher::Dispatcher;
 use crate::fleet::Fleet;
+use crate::instruments::Instruments;
 use crate::leadership::Leadership;
 use crate::moves::Moves;
 use crate::peers::Peers;
@@ -98,7 +99,7 @@
     peers: Peers,
     recorder: Arc<Recorder>,
     stop: Stop,
-    metrics: Metrics,
+    instruments: Arc<Instruments>,
 }
 
 impl Shared {
@@ -135,6 +136,7 @@
             zone: settings.zone.clone(),
             incarnation,
         };
+        let instruments = Arc::new(Instruments::new());
         let recorder = Arc::new(Recorder::new(origin, Arc::clone(&clock)));
         let moves = Arc::new(Moves::new(Arc::clone(&clock), incarnation));
         let dispatcher = Arc::new(Dispatcher::new(
@@ -143,6 +145,7 @@
             Arc::clone(&current),
             Arc::clone(&moves),
             Arc::clone(&recorder),
+            Arc::clone(&instruments),
         ));
         let fleet_settings = fleet::Settings {
             entry: settings.instance.clone(),
@@ -175,7 +178,7 @@
             platform,
             recorder,
             stop: Stop::new(),
-            metrics: Metrics::new(),
+            instruments,
         });
 
         let control = bind(settings.control)?;
--- a/crates/ebonylug-entry/src/reply.rs
+++ b/crates/ebonylug-entry/src/reply.rs
@@ -52,7 +52,7 @@
 pub fn fate(request: RequestId, fate: Fate) -> Answer {
     let mut answer = answer(fate.status(), fate.word(), &error_body(fate, Some(request)));
     if let Fate::NotRun(refusal) = fate {
-        insert(&mut answer, wire::REASON, &reason_word(refusal.reason));
+        insert(&mut answer, wire::REASON, refusal.reason.as_str());
         if let Some(after) = refusal.after {
             insert(
                 &mut answer,
@@ -103,12 +103,6 @@
     answer
 }
 
-fn reason_word(reason: Reason) -> String {
-    let word = serde_json::to_value(reason).ok();
-    word.and_then(|word| word.as_str().map(str::to_owned))
-        .unwrap_or_default()
-}
-
 fn refusal_status(reason: Reason) -> StatusCode {
     match reason {
         Reason::Invalid => StatusCode::BAD_REQUEST,
--- a/crates/ebonylug-sidecar/src/http.rs
+++ b/crates/ebonylug-sidecar/src/http.rs
@@ -25,7 +25,10 @@
     match (request.method(), path.as_str()) {
         (&Method::GET, "/healthz") => serve::text(StatusCode::OK, "ok\n"),
         (&Method::GET, "/readyz") => ready(&shared),
-        (&Method::GET, "/metrics") => serve::text(StatusCode::OK, shared.metrics.render()),
+        (&Method::GET, "/metrics") => serve::text(
+            StatusCode::OK,
+            shared.instruments.render(&shared.core.report()),
+        ),
         _ if !is_peer(&shared, request.headers()) => {
             problem(StatusCode::UNAUTHORIZED, "wrong shared key")
         }
@@ -146,6 +149,7 @@
 }
 
 fn refuse(shared: &Shared, refusal: Refusal) -> Reply {
+    shared.instruments.refused(refusal.reason);
     let refused = Refused {
         refusal,
         report: shared.core.report(),
--- a/crates/ebonylug-sidecar/src/lib.rs
+++ b/crates/ebonylug-sidecar/src/lib.rs
@@ -15,6 +15,7 @@
 mod core;
 mod events;
 mod http;
+mod instruments;
 mod settings;
 mod target;
 
@@ -28,7 +29,6 @@
 use ebonylug_core::{Clock, End, EngineReport, Incarnation, Reason, Refusal, Tokens};
 use ebonylug_events::Origin;
 use ebonylug_net::client::Client;
-use ebonylug_net::metrics::Metrics;
 use ebonylug_net::serve::Server;
 use ebonylug_net::stop::Stop;
 use ebonylug_net::wire::Refused;
@@ -36,6 +36,7 @@
 pub use settings::{Invalid, Kind, Settings};
 
 use crate::core::{Attempt, Core};
+use crate::instruments::Instruments;
 use crate::target::{Call, Caller, Ended};
 
 /// The interval at which the target is asked for its load.
@@ -72,7 +73,7 @@
     core: Arc<Core>,
     caller: Caller,
     stop: Stop,
-    metrics: Metrics,
+    instruments: Instruments,
     runtime: tokio::runtime::Handle,
 }
 
@@ -85,6 +86,7 @@
                 if end == End::Crashed {
                     self.core.set_up(false);
                 }
+                self.instruments.ended(end);
                 self.core.finish(call.attempt, end, tokens);
             }
             Ended::NotRun => {
@@ -129,7 +131,7 @@
             caller: Caller::new(Arc::clone(&settings), Arc::clone(&core)),
             core: Arc::clone(&core),
             stop: Stop::new(),
-            metrics: Metrics::new(),
+            instruments: Instruments::new(),
             runtime: tokio::runtime::Handle::current(),
             settings: Arc::clone(&settings),
         });
