--- a/crates/ebonylug-demo/tests/path.rs
+++ b/crates/ebonylug-demo/tests/path.rs
@@ -78,50 +78,44 @@
     let good = "{\"model\":\"sisal\",\"messages\":[]}";
     let (post, token) = (Method::POST, "fibras-demo-token");
     let large = "x".repeat((16 << 20) + 1);
-    let cases: [(&str, &Method, &str, &[(&str, &str)], &str, u16); 10] = [
-        ("wrong", &post, chat, &[], good, 401),
-        (token, &post, chat, &[], "{\"model\":", 400),
-        (token, &post, chat, &[], "{\"messages\":[]}", 400),
-        (
+    let cases = [
+        Bad::new("wrong", &post, chat, good, 401),
+        Bad::new(token, &post, chat, "{\"model\":", 400),
+        Bad::new(token, &post, chat, "{\"messages\":[]}", 400),
+        Bad::new(
             token,
             &post,
             chat,
-            &[],
             "{\"model\":\"none\",\"messages\":[]}",
             404,
         ),
-        (token, &post, chat, &[("ebonylug-tier", "none")], good, 400),
-        (
-            token,
-            &post,
-            chat,
-            &[("ebonylug-deadline", "soon")],
-            good,
-            400,
-        ),
-        (token, &post, "/none", &[], good, 404),
-        (token, &Method::GET, chat, &[], "", 405),
-        (token, &post, "/services/orders", &[], "{}", 400),
-        (
-            token,
-            &post,
-            "/services/orders",
-            &[("idempotency-key", "k")],
-            &large,
-            413,
-        ),
+        Bad::new(token, &post, chat, good, 400).header("ebonylug-tier", "none"),
+        Bad::new(token, &post, chat, good, 400).header("ebonylug-deadline", "soon"),
+        Bad::new(token, &post, "/none", good, 404),
+        Bad::new(token, &Method::GET, chat, "", 405),
+        Bad::new(token, &post, "/services/orders", "{}", 400),
+        Bad::new(token, &post, "/services/orders", &large, 413).header("idempotency-key", "k"),
     ];
-    for (token, method, path, headers, body, status) in cases {
-        let caller = Caller::new(deployment.entry(0), token);
-        let answer = caller.send(method.clone(), path, headers, body).await;
+    for bad in cases {
+        let caller = Caller::new(deployment.entry(0), bad.token);
+        let answer = caller
+            .send(bad.method.clone(), bad.path, &bad.headers, bad.body)
+            .await;
         let answer = answer.expect("the entry answers");
         assert_eq!(
             answer.status,
-            status,
-            "{path} {headers:?}: {}",
+            bad.status,
+            "{} {:?}: {}",
+            bad.path,
+            bad.headers,
             answer.text()
         );
-        assert_eq!(answer.header("ebonylug-outcome"), Some("not-run"), "{path}");
+        assert_eq!(
+            answer.header("ebonylug-outcome"),
+            Some("not-run"),
+            "{}",
+            bad.path
+        );
     }
     let total: u64 = ebonylug_demo::runs(&deployment)
         .iter()
@@ -129,3 +123,31 @@
         .sum();
     assert_eq!(total, 0);
 }
+
+/// A request that must be refused.
+struct Bad<'a> {
+    token: &'a str,
+    method: &'a Method,
+    path: &'a str,
+    headers: Vec<(&'a str, &'a str)>,
+    body: &'a str,
+    status: u16,
+}
+
+impl<'a> Bad<'a> {
+    fn new(token: &'a str, method: &'a Method, path: &'a str, body: &'a str, status: u16) -> Self {
+        Bad {
+            token,
+            method,
+            path,
+            headers: Vec::new(),
+            body,
+            status,
+        }
+    }
+
+    fn header(mut self, name: &'a str, value: &'a str) -> Self {
+        self.headers.push((name, value));
+        self
+    }
+}
