--- a/crates/ebonylug-lease/src/candidate.rs
+++ b/crates/ebonylug-lease/src/candidate.rs
@@ -5,9 +5,13 @@
 
 use crate::{Call, LeaseState, Reply};
 
+/// Calls in one step: read, write, read back, write again.
+const MAX_CALLS: usize = 4;
+
 /// Carries out the calls of a [`LeaseState`].
 pub struct Candidate<T> {
     table: T,
+    key: Box<str>,
     shared: Arc<Shared>,
     reported: Option<Fence>,
 }
@@ -20,42 +24,39 @@
 impl<T: Table> Candidate<T> {
     /// Creates a candidate.
     pub fn new(table: T, clock: Arc<dyn Clock>, state: LeaseState) -> Self {
+        let key = state.key().into();
         let state = Mutex::new(state);
         Candidate {
             table,
+            key,
             shared: Arc::new(Shared { clock, state }),
             reported: None,
         }
     }
 
-    /// Makes the call that is due, if any. Returns a guard when the lease has been taken.
+    /// Makes the calls that are due. Returns a guard when the lease has been taken.
     ///
     /// To be called often (every 100 ms). A call that is cancelled counts as a lost reply.
     pub async fn step(&mut self) -> Option<Lease> {
-        let clock = &self.shared.clock;
-        let (call, key) = {
-            let mut state = self.shared.lock();
-            let call = state.tick(clock.now(), clock.wall())?;
-            (call, state.key().to_owned())
-        };
-        let reply = match call {
-            Call::Read => Reply::Read(self.table.get(&key).await),
-            Call::Write(transaction) => Reply::Write(self.table.transact(transaction).await),
-        };
-        let now = clock.now();
-        let fence = {
-            let mut state = self.shared.lock();
-            state.replied(now, reply);
-            state.held(now)?
-        };
-        if self.reported.replace(fence) == Some(fence) {
-            return None;
+        for _ in 0..MAX_CALLS {
+            let clock = &self.shared.clock;
+            let call = self.shared.lock().tick(clock.now(), clock.wall())?;
+            let reply = match call {
+                Call::Read => Reply::Read(self.table.get(&self.key).await),
+                Call::Write(transaction) => Reply::Write(self.table.transact(transaction).await),
+            };
+            let now = clock.now();
+            let held = {
+                let mut state = self.shared.lock();
+                state.replied(now, reply);
+                state.held(now)
+            };
+            if held.is_some() && self.reported != held {
+                self.reported = held;
+                return held.map(|fence| self.guard(fence));
+            }
         }
-        tracing::info!("lease: took {key} with fencing number {fence}");
-        Some(Lease {
-            shared: Arc::clone(&self.shared),
-            fence,
-        })
+        None
     }
 
     /// Gives a lease back and tells the other candidates, so that they need not wait. If the
@@ -71,6 +72,14 @@
         let now = self.shared.clock.now();
         self.shared.lock().campaign(now);
     }
+
+    fn guard(&self, fence: Fence) -> Lease {
+        tracing::info!("lease: took {} with fencing number {fence}", self.key);
+        Lease {
+            shared: Arc::clone(&self.shared),
+            fence,
+        }
+    }
 }
 
 impl Shared {
--- a/crates/ebonylug-lease/src/lib.rs
+++ b/crates/ebonylug-lease/src/lib.rs
@@ -20,10 +20,10 @@
 //!
 //! # Takeover
 //!
-//! All candidates may try at about the same time when a holder is gone; one wins, and the
-//! others' conditional writes fail. [`Settings::stagger`] delays each candidate by its index to
-//! avoid that. It is zero by default, by the figures of `examples/takeover.rs`; see
-//! [`Settings::default`].
+//! When a holder is gone, several candidates may try at about the same time; one wins, and the
+//! others' conditional writes fail. A candidate therefore reads the row just before it takes the
+//! lease, and [`Settings::stagger`] delays it by its index. `examples/takeover.rs` measures the
+//! effect; the figures are at [`Stagger`].
 //!
 //! ```
 //! use std::sync::Arc;
@@ -39,7 +39,6 @@
 //! let state = LeaseState::new("move-chat", process, Incarnation(1), settings, clock.now());
 //! let mut candidate = Candidate::new(MemoryPlatform::new(), clock.clone(), state);
 //!
-//! assert!(candidate.step().await.is_none(), "reads the row");
 //! let lease = candidate.step().await.expect("takes the free lease");
 //! assert_eq!(lease.fence(), Fence(1));
 //! assert!(lease.is_valid());
--- a/crates/ebonylug-lease/src/state.rs
+++ b/crates/ebonylug-lease/src/state.rs
@@ -25,9 +25,23 @@
 }
 
 /// The additional wait of a candidate before a takeover.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+///
+/// Refused writes per takeover, and the median time from the death of the holder to the takeover,
+/// in virtual time over 200 takeovers, with calls of 2 to 20 ms:
+///
+/// | candidates | no stagger | 20 ms | 200 ms |
+/// | --- | --- | --- | --- |
+/// | 3 | 0.14, 9.8 s | 0.14, 9.8 s | 0.00, 10.0 s |
+/// | 10 | 0.81, 9.7 s | 0.26, 9.8 s | 0.06, 9.9 s |
+/// | 50 | 3.77, 9.7 s | 0.56, 9.5 s | 0.04, 9.9 s |
+/// | 200 | 10.49, 9.7 s | 0.52, 9.5 s | 0.05, 9.9 s |
+/// | 50, all at the same instants | 26.30, 9.8 s | 1.67, 9.4 s | 0.07, 10.0 s |
+///
+/// The default interval is therefore 200 ms. It has no effect while all indices are 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stagger {
-    /// The place of the candidate among all candidates.
+    /// The place of the candidate among all candidates. Best kept below 16, by sharing places:
+    /// the first candidates may be gone together with the holder.
     pub index: u32,
     /// The wait between two candidates. Must exceed a call to the table to be of use.
     pub interval: Duration,
@@ -41,6 +55,16 @@
     }
 }
 
+impl Default for Stagger {
+    fn default() -> Self {
+        Stagger {
+            index: 0,
+            interval: Duration::from_millis(200),
+            skew: Duration::ZERO,
+        }
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Settings {
@@ -74,8 +98,8 @@
 
 /// One process's part in one lease: candidate or holder.
 ///
-/// The owner calls [`tick`](Self::tick) often (every 100 ms), makes the call that it returns, and
-/// reports the reply with [`replied`](Self::replied) before it ticks again.
+/// The owner calls [`tick`](Self::tick) often (every 100 ms), makes the call that it returns,
+/// reports the reply with [`replied`](Self::replied), and ticks again at once.
 #[derive(Debug)]
 pub struct LeaseState {
     key: Box<str>,
@@ -98,6 +122,8 @@
     row: Option<(u64, LeaseRow)>,
     /// When this version of the row was first seen.
     since: Instant,
+    /// When it was last seen.
+    latest: Instant,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -188,8 +214,9 @@
                 self.write()
             });
         }
-        let Some(fence) = self.next_fence(now) else {
-            return self.campaigning.then_some(Call::Read);
+        let fence = match self.next_fence(now) {
+            Some(fence) if self.held.is_some() || !self.campaigning || self.is_fresh(now) => fence,
+            _ => return self.campaigning.then_some(Call::Read),
         };
         self.writes += 1;
         let row = LeaseRow {
@@ -254,6 +281,13 @@
         }
     }
 
+    /// Reports whether the row was read just now. A candidate that takes the lease without looking
+    /// again collides with the one that took it a moment before.
+    fn is_fresh(&self, now: Instant) -> bool {
+        let fresh = |seen: &Seen| now < seen.latest + self.settings.retry;
+        self.seen.as_ref().is_some_and(fresh)
+    }
+
     /// Reports whether this process wrote the row and has not given it back.
     fn is_own(&self, row: &LeaseRow) -> bool {
         row.process == self.process && !row.released
@@ -308,6 +342,7 @@
         let seen = Seen {
             row: present,
             since,
+            latest: now,
         };
         let free = seen
             .row
@@ -329,6 +364,7 @@
         self.seen = Some(Seen {
             row: Some((version, pending.row)),
             since: now,
+            latest: now,
         });
     }
 
