--- a/crates/ebonylug-measure/src/main.rs
+++ b/crates/ebonylug-measure/src/main.rs
@@ -1,3 +1,70 @@
 //! Measurements of the product against a naive policy in virtual time.
 
-fn main() {}
+use bpaf::Bpaf;
+use ebonylug_measure::deployment::Deployment;
+use ebonylug_measure::{dispatch, report};
+
+/// Compares the product's decisions with a naive policy in virtual time.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Queueing, choice of targets and admission at several loads.
+    #[bpaf(command)]
+    Dispatch {
+        /// The number of seeds, from 1 on.
+        #[bpaf(argument("N"), fallback(3))]
+        seeds: u64,
+        /// Runs only this seed.
+        #[bpaf(argument("SEED"))]
+        seed: Option<u64>,
+        /// Runs only this deployment, or only one load of it: fibras, scaleward, fibras:1.5, ...
+        #[bpaf(argument("NAME"))]
+        case: Option<String>,
+        /// Prints JSON instead of tables.
+        json: bool,
+    },
+}
+
+fn main() {
+    match command().run() {
+        Command::Dispatch {
+            seeds,
+            seed,
+            case,
+            json,
+        } => run_dispatch(seeds, seed, case.as_deref(), json),
+    }
+}
+
+fn run_dispatch(seeds: u64, seed: Option<u64>, case: Option<&str>, json: bool) {
+    let (name, load) = match case.map(|case| case.split_once(':').unwrap_or((case, ""))) {
+        Some((name, load)) => (Some(name), load.parse::<f64>().ok()),
+        None => (None, None),
+    };
+    let seeds = seed.map_or(1..=seeds, |seed| seed..=seed);
+    let mut tasks = Vec::new();
+    for deployment in [Deployment::fibras(), Deployment::scaleward()] {
+        if name.is_some_and(|name| name != deployment.name) {
+            continue;
+        }
+        for at in dispatch::LOADS {
+            if load.is_none_or(|load| load == at) {
+                tasks.extend(seeds.clone().map(|seed| (deployment.clone(), at, seed)));
+            }
+        }
+    }
+    let cases: Vec<dispatch::Case> =
+        ebonylug_measure::parallel(tasks, |(deployment, load, seed)| {
+            dispatch::case(&deployment, load, dispatch::Length::default(), seed)
+        });
+    let targets = dispatch::targets(&cases);
+    if json {
+        let value = serde_json::json!({ "cases": cases, "targets": targets });
+        println!("{value:#}");
+        return;
+    }
+    for table in dispatch::tables(&cases) {
+        println!("{table}");
+    }
+    println!("{}", report::targets(&targets));
+}
