--- a/crates/ebonylug-measure/src/deployment.rs
+++ b/crates/ebonylug-measure/src/deployment.rs
@@ -128,12 +128,18 @@
 }
 
 impl Deployment {
+    /// The names of the deployments.
+    pub const NAMES: [&str; 5] = ["fibras", "scaleward", "solo-1", "solo-2", "solo-4"];
+
     /// Returns the deployment with this name.
     #[must_use]
     pub fn named(name: &str) -> Option<Self> {
         match name {
             "fibras" => Some(Deployment::fibras()),
             "scaleward" => Some(Deployment::scaleward()),
+            "solo-1" => Some(Deployment::solo("solo-1", 0)),
+            "solo-2" => Some(Deployment::solo("solo-2", 1)),
+            "solo-4" => Some(Deployment::solo("solo-4", 2)),
             _ => None,
         }
     }
@@ -180,6 +186,22 @@
         }
     }
 
+    /// One entry and one engine with the routes of fibras, as the smallest case.
+    #[must_use]
+    pub fn solo(name: &'static str, number: usize) -> Self {
+        let mut solo = Deployment::fibras();
+        solo.name = name;
+        solo.zones = &["solo"];
+        solo.entries = 1;
+        solo.routes.retain(|route| !route.service);
+        solo.targets = vec![TargetSpec {
+            name: "engine-0".into(),
+            zone: 0,
+            kind: Kind::Model(generation(number)),
+        }];
+        solo
+    }
+
     /// Returns the capacity in seconds of work per second: of the model engines, and of the
     /// services.
     ///
--- a/crates/ebonylug-measure/src/dispatch.rs
+++ b/crates/ebonylug-measure/src/dispatch.rs
@@ -6,7 +6,7 @@
 use crate::engine::SECOND;
 use crate::faults::Fault;
 use crate::naive::Naive;
-use crate::product::Product;
+use crate::product::{Product, Sample};
 use crate::random::Random;
 use crate::report::{Table, Target};
 use crate::tally::Measures;
@@ -61,6 +61,9 @@
     /// Batch goodput as a part of the capacity that urgent work leaves, or of what was offered,
     /// whichever is less.
     pub batch_part: f64,
+    /// The part of the time that model engines are down or cold, and the part that their
+    /// sidecars take them for so.
+    pub cold: [f64; 2],
 }
 
 /// Runs one case.
@@ -89,7 +92,9 @@
         seed,
         &mut product,
     );
-    let product = figures::<Product>(&core, window, capacity, batch_offered);
+    let [cold, taken, all] = product.cold_looks.map(|looks| looks as f64);
+    let mut product = figures::<Product>(&core, window, capacity, batch_offered);
+    product.cold = [cold / all, taken / all];
     let mut naive = Naive::default();
     let core = run(deployment, jobs, faults, end, seed, &mut naive);
     let naive = figures::<Naive>(&core, window, capacity, batch_offered);
@@ -104,6 +109,17 @@
     }
 }
 
+/// Runs one case under the product alone and returns the state of its fleet over time.
+#[must_use]
+pub fn trace(deployment: &Deployment, load: f64, length: Length, seed: u64) -> Vec<Sample> {
+    let total = length.warm_up + length.window;
+    let jobs = arrivals(deployment, load, total, seed);
+    let faults = restarts(deployment, length, seed);
+    let mut product = Product::new(seed);
+    run(deployment, jobs, faults, total, seed, &mut product);
+    product.samples
+}
+
 /// Crashes one engine each minute, so that a cold start is part of each case.
 fn restarts(deployment: &Deployment, length: Length, seed: u64) -> Vec<(u64, Fault)> {
     let mut random = Random::new(seed, 500);
@@ -113,6 +129,9 @@
         .filter(|target| matches!(target.kind, crate::engine::Kind::Model(_)));
     let models = models.count();
     let mut faults = Vec::new();
+    if models < 2 {
+        return faults;
+    }
     let mut at = length.warm_up + 20 * SECOND;
     while at + 40 * SECOND < length.warm_up + length.window {
         faults.push((at, Fault::Crash(random.below(models))));
@@ -145,6 +164,7 @@
     Figures {
         measures,
         batch_part,
+        cold: [0.0; 2],
     }
 }
 
@@ -244,15 +264,18 @@
         "shed+batch",
         "computed k",
         "wasted k",
+        "preempted",
         "twice",
         "orders",
         "lost",
         "refused ran",
         "cold excess",
+        "cold",
+        "taken for cold",
         "crashes",
         "fairness",
     ]);
-    for name in ["fibras", "scaleward"] {
+    for name in Deployment::NAMES {
         for load in LOADS {
             let here: Vec<&Case> = cases
                 .iter()
@@ -317,11 +340,14 @@
         format!("{:.1}", mean(&|f| f.measures.shed_beside_batch as f64)),
         format!("{:.0}", mean(&|f| f.measures.computed / 1_000.0)),
         format!("{:.0}", mean(&|f| f.measures.wasted / 1_000.0)),
+        format!("{:.0}", mean(&|f| f.measures.preemptions as f64)),
         format!("{:.1}", mean(&|f| f.measures.twice as f64)),
         format!("{:.1}", mean(&|f| f.measures.twice_orders as f64)),
         format!("{:.1}", mean(&|f| f.measures.lost as f64)),
         format!("{:.0}", most(&|f| f.measures.refused_runs as f64)),
         format!("{:.0}", most(&|f| f.measures.cold_excess as f64)),
+        format!("{:.3}", mean(&|f| f.cold[0])),
+        format!("{:.3}", mean(&|f| f.cold[1])),
         format!("{:.1}", mean(&|f| f.measures.crashes as f64)),
         format!("{:.3}", mean(&|f| f.measures.fairness)),
     ]
--- a/crates/ebonylug-measure/src/main.rs
+++ b/crates/ebonylug-measure/src/main.rs
@@ -20,6 +20,8 @@
         /// Runs only this deployment, or only one load of it: fibras, scaleward, fibras:1.5, ...
         #[bpaf(argument("NAME"))]
         case: Option<String>,
+        /// Prints the state of the product's fleet every ten seconds.
+        trace: bool,
         /// Prints JSON instead of tables.
         json: bool,
     },
@@ -31,28 +33,40 @@
             seeds,
             seed,
             case,
+            trace,
             json,
-        } => run_dispatch(seeds, seed, case.as_deref(), json),
+        } => run_dispatch(seeds, seed, case.as_deref(), trace, json),
     }
 }
 
-fn run_dispatch(seeds: u64, seed: Option<u64>, case: Option<&str>, json: bool) {
+fn run_dispatch(seeds: u64, seed: Option<u64>, case: Option<&str>, trace: bool, json: bool) {
     let (name, load) = match case.map(|case| case.split_once(':').unwrap_or((case, ""))) {
         Some((name, load)) => (Some(name), load.parse::<f64>().ok()),
         None => (None, None),
     };
     let seeds = seed.map_or(1..=seeds, |seed| seed..=seed);
     let mut tasks = Vec::new();
-    for deployment in [Deployment::fibras(), Deployment::scaleward()] {
-        if name.is_some_and(|name| name != deployment.name) {
-            continue;
-        }
+    let names = name.map_or(vec!["fibras", "scaleward"], |name| vec![name]);
+    for name in names {
+        let Some(deployment) = Deployment::named(name) else {
+            eprintln!("dispatch: no case is named {name}");
+            std::process::exit(2);
+        };
         for at in dispatch::LOADS {
             if load.is_none_or(|load| load == at) {
                 tasks.extend(seeds.clone().map(|seed| (deployment.clone(), at, seed)));
             }
         }
     }
+    if trace {
+        for (deployment, load, seed) in tasks {
+            println!("{} {load} seed {seed}", deployment.name);
+            for sample in dispatch::trace(&deployment, load, dispatch::Length::default(), seed) {
+                println!("{sample:?}");
+            }
+        }
+        return;
+    }
     let cases: Vec<dispatch::Case> =
         ebonylug_measure::parallel(tasks, |(deployment, load, seed)| {
             dispatch::case(&deployment, load, dispatch::Length::default(), seed)
--- a/crates/ebonylug-measure/src/naive.rs
+++ b/crates/ebonylug-measure/src/naive.rs
@@ -216,12 +216,8 @@
                 reply(core, target, entry, Message::Accepted(attempt));
             }
             Message::Cancel(attempt) => {
-                if core
-                    .cancel(target, job_of(attempt), attempt, false)
-                    .is_some()
-                {
-                    self.accepted.remove(&attempt);
-                }
+                core.cancel(target, job_of(attempt), attempt, false);
+                self.accepted.remove(&attempt);
             }
             _ => {}
         }
--- a/crates/ebonylug-measure/src/product.rs
+++ b/crates/ebonylug-measure/src/product.rs
@@ -17,11 +17,13 @@
 use crate::product::entry::Entry;
 use crate::product::sidecar::Sidecar;
 use crate::product::store::Store;
-use crate::world::{Core, Node, Policy};
+use crate::world::{Core, Node, Policy, TICK};
 
 /// The longest time until a process has taken over a new configuration. The bound is 5 s; peers
 /// push within about a second.
 const CONFIGURE: u64 = SECOND;
+/// The interval of samples of the fleet.
+const SAMPLE: u64 = 10 * SECOND;
 
 /// The product between callers and targets.
 pub struct Product {
@@ -34,6 +36,22 @@
     /// Dispatches into a zone, by the time in seconds since it was taken out or went dark.
     pub into_lost_zone: [u64; 8],
     lost: Vec<Option<u64>>,
+    /// Looks at model engines that were cold, that their sidecars took for cold, and all.
+    pub cold_looks: [u64; 3],
+    /// The state of the fleet over time.
+    pub samples: Vec<Sample>,
+}
+
+/// The state of the fleet at one time.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    /// The time in seconds.
+    pub at: u64,
+    /// For each model engine its limit, the work inside and its batch part in tokens, the
+    /// streams inside, and whether its sidecar takes it for cold.
+    pub engines: Vec<(u64, u64, u64, usize, bool)>,
+    /// Requests that wait: interactive, batch.
+    pub waiting: [usize; 2],
 }
 
 /// A message between the processes of the product, or a timer within one.
@@ -97,9 +115,34 @@
             seed,
             into_lost_zone: [0; 8],
             lost: Vec::new(),
+            cold_looks: [0; 3],
+            samples: Vec::new(),
         }
     }
 
+    fn sample(&mut self, core: &Core<Message>) {
+        let mut engines = Vec::new();
+        for (sidecar, spec) in self.sidecars.iter().zip(&core.deployment.targets) {
+            if let Kind::Model(_) = spec.kind {
+                let report = sidecar.load(core);
+                let streams = core.engines[engines.len()].len();
+                let (limit, used, batch) = (report.limit.0, report.used.0, report.batch.0);
+                engines.push((limit, used, batch, streams, report.cold));
+            }
+        }
+        let mut waiting = [0; 2];
+        for entry in &self.entries {
+            for (index, count) in entry.waiting().into_iter().enumerate() {
+                waiting[index] += count;
+            }
+        }
+        self.samples.push(Sample {
+            at: core.now / SECOND,
+            engines,
+            waiting,
+        });
+    }
+
     fn next_incarnation(&mut self) -> Incarnation {
         self.incarnations += 1;
         Incarnation(self.incarnations)
@@ -191,6 +234,16 @@
 
     fn tick(&mut self, core: &mut Core<Message>, target: usize) {
         self.sidecars[target].tick(core);
+        let engine = &core.engines[target];
+        if let Kind::Model(_) = core.deployment.targets[target].kind {
+            let report = self.sidecars[target].load(core);
+            self.cold_looks[0] += u64::from(engine.is_cold() || !engine.is_up());
+            self.cold_looks[1] += u64::from(report.cold || !report.up);
+            self.cold_looks[2] += 1;
+        }
+        if target == 0 && core.now % SAMPLE < TICK {
+            self.sample(core);
+        }
     }
 
     fn fault(&mut self, core: &mut Core<Message>, fault: &Fault) {
--- a/crates/ebonylug-measure/src/product/entry.rs
+++ b/crates/ebonylug-measure/src/product/entry.rs
@@ -151,6 +151,15 @@
         }
     }
 
+    /// Returns the interactive and batch requests that wait.
+    pub(super) fn waiting(&self) -> [usize; 2] {
+        let mut waiting = [0; 2];
+        for (tier, backlog) in self.router.backlog().tiers {
+            waiting[usize::from(!tier.is_interactive())] += backlog.waiting;
+        }
+        waiting
+    }
+
     pub(super) fn receive(&mut self, core: &mut Core<Message>, message: Message) {
         let now = core.now;
         match message {
@@ -163,10 +172,8 @@
                     live.heard = now;
                 }
             }
-            Message::First(attempt) => {
-                if self.live.contains_key(&attempt) {
-                    core.tally.first_token(job_of(attempt), now);
-                }
+            Message::First(attempt) if self.live.contains_key(&attempt) => {
+                core.tally.first_token(job_of(attempt), now);
             }
             Message::Tail(attempt, tail) => self.settle(core, attempt, outcome(tail)),
             Message::Report(target, report) => {
@@ -183,11 +190,7 @@
             }
             Message::Alive(target) => self.contacts[target].alive = now,
             Message::Revoked(attempt, revoked) => self.revoked(core, attempt, revoked),
-            Message::Crashes(crashes) => {
-                if self.crashes.merge(&crashes) {
-                    self.tell_crashes(core);
-                }
-            }
+            Message::Crashes(crashes) => self.learn_crashes(core, &crashes),
             Message::Configure(revision, zone, drained) => {
                 self.configure(core, revision, zone, drained);
             }
@@ -359,7 +362,11 @@
         }
     }
 
-    fn tell_crashes(&self, core: &mut Core<Message>) {
+    /// Passes crashes that are new on to all sidecars.
+    fn learn_crashes(&mut self, core: &mut Core<Message>, crashes: &CrashLog) {
+        if !self.crashes.merge(crashes) {
+            return;
+        }
         for target in 0..self.targets.len() {
             let message = Message::Crashes(Box::new(self.crashes.clone()));
             let (from, to) = (Node::Entry(self.index), Node::Target(target));
--- a/crates/ebonylug-measure/src/product/sidecar.rs
+++ b/crates/ebonylug-measure/src/product/sidecar.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use ebonylug_admission::{Action, Admission, Decision};
-use ebonylug_core::{AttemptId, End, Gate, Incarnation, Revision, Revoked, Tokens};
+use ebonylug_core::{AttemptId, End, Gate, Incarnation, LoadReport, Revision, Revoked, Tokens};
 
 use crate::engine::{Ended, EngineEvent, SECOND};
 use crate::product::{Message, Tail, admission_settings};
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Returns the state that entries would see now.
+    pub(super) fn load(&self, core: &Core<Message>) -> LoadReport {
+        self.admission.report(core.instant())
+    }
+
     pub(super) fn up(&mut self, core: &mut Core<Message>) {
         self.engine.clear();
         self.admission.target_up(core.instant());
@@ -259,7 +264,7 @@
             .iter()
             .take_while(|(at, _)| at + ENGINE_LAG <= core.now)
             .count();
-        if let Some((_, report)) = self.engine.drain(..ready).last() {
+        if let Some((_, report)) = self.engine.drain(..ready).next_back() {
             self.admission.engine_report(core.instant(), report);
         }
     }
--- a/crates/ebonylug-measure/src/tally.rs
+++ b/crates/ebonylug-measure/src/tally.rs
@@ -54,6 +54,7 @@
     started: HashSet<AttemptId>,
     refused_runs: u64,
     extra_conclusions: u64,
+    preemptions: u64,
     /// The number of batch streams inside all targets.
     pub batch_running: usize,
 }
@@ -67,6 +68,7 @@
             started: HashSet::new(),
             refused_runs: 0,
             extra_conclusions: 0,
+            preemptions: 0,
             batch_running: 0,
         }
     }
@@ -94,6 +96,7 @@
         record.computed += ended.computed;
         if preempted {
             record.run = Run::Open;
+            self.preemptions += 1;
         }
         self.batch_running -= usize::from(ended.batch);
     }
@@ -141,6 +144,7 @@
         let mut measures = Measures {
             refused_runs: self.refused_runs,
             extra_conclusions: self.extra_conclusions,
+            preemptions: self.preemptions,
             ..Measures::default()
         };
         let mut needed = Needed::default();
@@ -211,6 +215,8 @@
     pub computed: f64,
     /// The part that served no answer, or was computed before.
     pub wasted: f64,
+    /// Attempts that were stopped to make room.
+    pub preemptions: u64,
     /// Requests that were run again without having been preempted.
     pub twice: u64,
     /// The part of these that must not be repeated.
@@ -280,7 +286,8 @@
             refused: 0,
             late: 0,
             failed: 0,
-            first: Histogram::new(3).expect("three digits are valid"),
+            // One millisecond to one hour.
+            first: Histogram::new_with_bounds(1, 3_600_000, 3).expect("the bounds are valid"),
         }
     }
 }
--- a/crates/ebonylug-measure/src/world.rs
+++ b/crates/ebonylug-measure/src/world.rs
@@ -21,7 +21,7 @@
 /// One-way time of a message within a zone.
 const WITHIN_ZONE: u64 = 50;
 /// Time between two looks at the output of a target.
-const TICK: u64 = 100_000;
+pub const TICK: u64 = 100_000;
 /// Time that a crashed engine is down.
 pub const DOWN: u64 = 5 * SECOND;
 /// Time that an engine is cold after a start.
