Add records of calls that must not be repeated

Cause: a dispatch order, a charge or a snooze must run at most once, although entries die between any two steps, replies are lost and callers send again.

A record is inserted before anything is sent; a repeat joins, replays, or revokes the attempt at its target before it takes over by compare-and-set.

Conclusion: an unknown outcome costs an answer, never a second run.

--- /dev/null
+++ b/crates/ebonylug-idempotency/src/call.rs
@@ -0,0 +1,440 @@
+use std::time::{Duration, Instant};
+
+use ebonylug_core::{AttemptId, Reason, RequestId, Revoked};
+use ebonylug_platform::{Committed, Error, Expect, Row, Transaction};
+use smallvec::{SmallVec, smallvec};
+
+use crate::{Answer, CallKey, MAX_BODY, Place, Record, RequestHash, State};
+
+/// Wait before a call to the store or a target is repeated.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// How long a repeat waits for an attempt that its target has not seen, before it revokes it.
+/// Longer than the way from the store through the entry to the target.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// Tries to record an outcome that the caller has been told already.
+const RECORD_TRIES: u32 = 5;
+
+/// What the owner of a [`KeyedCall`] is to do. Each action but `Finish` is answered by an event.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Read the row of the key; answered by [`Event::Read`].
+    Read,
+    /// Apply a transaction; answered by [`Event::Written`].
+    Write(Transaction),
+    /// Choose a place for another attempt; answered by [`Event::Chosen`].
+    Choose,
+    /// Send the request as this attempt; answered by [`Event::Sent`].
+    Send((AttemptId, Place)),
+    /// Read the whole answer of an attempt at its target; answered by [`Event::Joined`].
+    Join((AttemptId, Place)),
+    /// Revoke an attempt at its target; answered by [`Event::Revoked`].
+    Revoke((AttemptId, Place)),
+    /// Wait; answered by [`Event::Elapsed`].
+    Wait(Duration),
+    /// Answer the caller. Happens once; actions may follow to complete the record.
+    Finish(Verdict),
+}
+
+/// The next actions.
+pub type Actions = SmallVec<[Action; 2]>;
+
+/// What the caller is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// The answer of the one run.
+    Answer(Answer),
+    /// The call was not run on behalf of this caller, and nothing is left that could run it.
+    NotRun(Reason),
+    /// It is unknown whether the call was run. It will not be run again.
+    Unknown,
+    /// The key was used with other content (422). This content was not run.
+    Mismatch,
+}
+
+/// How an attempt ended for the entry that sent it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Sent {
+    /// The whole answer arrived.
+    Answered(Answer),
+    /// The sidecar refused: the attempt was not run.
+    Refused(Reason),
+    /// It is unknown whether the attempt was run, or it ran without a whole answer.
+    Unknown,
+}
+
+/// What a target tells about an attempt of another entry.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Joined {
+    /// The whole answer.
+    Answered(Answer),
+    /// The sidecar has not seen the attempt, or has refused it.
+    NotSeen,
+    /// The sidecar cannot tell: it has restarted since, or the answer is not retained any more.
+    Unknown,
+    /// The sidecar does not answer.
+    Unreachable,
+}
+
+/// What has happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// After [`Action::Read`].
+    Read(Result<Option<Row>, Error>),
+    /// After [`Action::Write`].
+    Written(Result<Committed, Error>),
+    /// After [`Action::Choose`]; an error if no target takes the call in time.
+    Chosen(Result<Place, Reason>),
+    /// After [`Action::Send`].
+    Sent(Sent),
+    /// After [`Action::Join`].
+    Joined(Joined),
+    /// After [`Action::Revoke`]; `None` if the sidecar does not answer.
+    Revoked(Option<Revoked>),
+    /// After [`Action::Wait`].
+    Elapsed,
+}
+
+/// One call with an idempotency key at one entry.
+#[derive(Clone, Debug)]
+pub struct KeyedCall {
+    key: CallKey,
+    content: RequestHash,
+    request: RequestId,
+    deadline: Instant,
+    /// Number of the latest write, for tokens.
+    writes: u32,
+    /// The record as this entry knows it, with the version of its row.
+    known: Option<(u64, Record)>,
+    pending: Option<Pending>,
+    /// What to do after a wait.
+    resume: Option<Action>,
+    /// Whether the grace for an attempt that its target has not seen is over.
+    graced: bool,
+    finished: bool,
+}
+
+/// A write whose effect is not known yet.
+#[derive(Clone, Debug)]
+struct Pending {
+    record: Record,
+    expect: Expect,
+    purpose: Purpose,
+    /// A reply was lost: the write may have been applied, or may still be.
+    unsure: bool,
+    tries: u32,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Purpose {
+    /// To send the attempt afterwards.
+    Reserve,
+    /// To tell the caller afterwards.
+    Settle(Verdict),
+    /// The caller has been told.
+    Complete,
+}
+
+impl KeyedCall {
+    /// Starts a call for which the entry has chosen a place. `request` must be unique to this
+    /// call at this entry.
+    #[must_use]
+    pub fn start(
+        key: CallKey,
+        content: RequestHash,
+        request: RequestId,
+        place: Place,
+        deadline: Instant,
+    ) -> (Self, Actions) {
+        let mut call = KeyedCall {
+            key,
+            content,
+            request,
+            deadline,
+            writes: 0,
+            known: None,
+            pending: None,
+            resume: None,
+            graced: false,
+            finished: false,
+        };
+        let actions = call.reserve(place);
+        (call, actions)
+    }
+
+    /// Returns the key.
+    #[must_use]
+    pub fn key(&self) -> &CallKey {
+        &self.key
+    }
+
+    /// Takes an event and returns what to do next. Without actions, the call has ended.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Actions {
+        match event {
+            Event::Written(Ok(committed)) => self.won(committed.version),
+            Event::Written(Err(error)) => self.write_failed(now, &error),
+            Event::Read(Ok(row)) => self.read(row.as_ref()),
+            Event::Read(Err(_)) => self.read_failed(now),
+            Event::Chosen(Ok(place)) => self.reserve(place),
+            Event::Chosen(Err(reason)) => self.give_up(reason),
+            Event::Sent(sent) => self.sent(sent),
+            Event::Joined(joined) => self.joined(now, joined),
+            Event::Revoked(revoked) => self.revoked(now, revoked),
+            Event::Elapsed => self.resume.take().into_iter().collect(),
+        }
+    }
+
+    fn reserve(&mut self, place: Place) -> Actions {
+        let attempt = match &self.known {
+            Some((_, record)) => AttemptId {
+                request: record.attempt.request,
+                number: record.attempt.number + 1,
+            },
+            None => AttemptId {
+                request: self.request,
+                number: 0,
+            },
+        };
+        self.write(attempt, place, State::Reserved, Purpose::Reserve)
+    }
+
+    /// Changes the state of the known record.
+    fn record(&mut self, state: State, purpose: Purpose) -> Actions {
+        let (_, record) = self.known.as_ref().expect("an attempt has a record");
+        let (attempt, place) = (record.attempt, record.place.clone());
+        self.write(attempt, place, state, purpose)
+    }
+
+    fn write(
+        &mut self,
+        attempt: AttemptId,
+        place: Place,
+        state: State,
+        purpose: Purpose,
+    ) -> Actions {
+        let token = format!("{}-{}", self.request, self.writes);
+        self.writes += 1;
+        let version = self.known.as_ref().map(|(version, _)| *version);
+        self.pending = Some(Pending {
+            record: Record {
+                content: self.content,
+                attempt,
+                place,
+                state,
+                token: token.into(),
+            },
+            expect: version.map_or(Expect::Absent, Expect::Version),
+            purpose,
+            unsure: false,
+            tries: 0,
+        });
+        smallvec![self.transaction()]
+    }
+
+    fn transaction(&self) -> Action {
+        let pending = self.pending.as_ref().expect("a write is pending");
+        let key = self.key.as_str();
+        let transaction = Transaction::new().expect(key, pending.expect);
+        Action::Write(transaction.put(key, &pending.record.to_text()))
+    }
+
+    /// The pending write is in force.
+    fn won(&mut self, version: u64) -> Actions {
+        let pending = self.pending.take().expect("a write is pending");
+        let attempt = (pending.record.attempt, pending.record.place.clone());
+        self.known = Some((version, pending.record));
+        self.graced = false;
+        match pending.purpose {
+            Purpose::Reserve => smallvec![Action::Send(attempt)],
+            Purpose::Settle(verdict) => self.finish(verdict),
+            Purpose::Complete => Actions::new(),
+        }
+    }
+
+    fn write_failed(&mut self, now: Instant, error: &Error) -> Actions {
+        let pending = self.pending.as_mut().expect("a write is pending");
+        pending.tries += 1;
+        match error {
+            // Another write has changed the row, or this one has and its reply was lost.
+            Error::Conflict { .. } => return smallvec![Action::Read],
+            Error::Unavailable | Error::Throttled => {}
+            _ => pending.unsure = true,
+        }
+        let (unsure, tries) = (pending.unsure, pending.tries);
+        let again = self.transaction();
+        match &self.pending.as_ref().expect("a write is pending").purpose {
+            Purpose::Reserve if now + RETRY < self.deadline => self.wait(RETRY, again),
+            // A reservation that may be in the table can be taken over by another entry.
+            Purpose::Reserve if unsure => self.finish(Verdict::Unknown),
+            Purpose::Reserve => self.finish(Verdict::NotRun(Reason::Store)),
+            Purpose::Settle(verdict) => {
+                let verdict = verdict.clone();
+                self.complete_later(verdict, again)
+            }
+            Purpose::Complete if tries < RECORD_TRIES => self.wait(RETRY, again),
+            Purpose::Complete => Actions::new(),
+        }
+    }
+
+    /// Tells the caller and goes on trying to record the outcome.
+    fn complete_later(&mut self, verdict: Verdict, write: Action) -> Actions {
+        let pending = self.pending.as_mut().expect("a write is pending");
+        pending.purpose = Purpose::Complete;
+        let mut actions = self.finish(verdict);
+        actions.extend(self.wait(RETRY, write));
+        actions
+    }
+
+    fn read(&mut self, row: Option<&Row>) -> Actions {
+        let parse = |row: &Row| Some((row.version, serde_json::from_str(&row.value).ok()?));
+        let present: Option<(u64, Record)> = row.and_then(parse);
+        if row.is_some() && present.is_none() {
+            tracing::error!("idempotency: row {} is not valid", self.key.as_str());
+            return self.finish(Verdict::Unknown);
+        }
+        let pending = self.pending.take();
+        let own = |record: &Record| {
+            pending
+                .as_ref()
+                .is_some_and(|p| p.record.token == record.token)
+        };
+        if let Some((version, record)) = &present
+            && own(record)
+        {
+            let version = *version;
+            self.pending = pending;
+            return self.won(version);
+        }
+        let attempt = |known: &Option<(u64, Record)>| known.as_ref().map(|(_, r)| r.attempt);
+        if attempt(&self.known) != attempt(&present) {
+            self.graced = false;
+        }
+        self.known = present;
+        match pending {
+            Some(pending) if pending.purpose == Purpose::Complete => self.complete(pending),
+            _ => self.follow(),
+        }
+    }
+
+    /// Another entry has changed the row before the outcome was recorded. A whole answer is
+    /// better than what the other entry knew, if it is about the same attempt.
+    fn complete(&mut self, lost: Pending) -> Actions {
+        let answered = matches!(lost.record.state, State::Done(_));
+        let record = self.known.as_ref().map(|(_, record)| record);
+        let worse = record.is_some_and(|record| {
+            record.attempt == lost.record.attempt && !matches!(record.state, State::Done(_))
+        });
+        if answered && worse && lost.tries < RECORD_TRIES {
+            let actions = self.record(lost.record.state, Purpose::Complete);
+            let pending = self.pending.as_mut().expect("a write is pending");
+            pending.tries = lost.tries;
+            return actions;
+        }
+        Actions::new()
+    }
+
+    /// Does what the record in the table says.
+    fn follow(&mut self) -> Actions {
+        let Some((_, record)) = &self.known else {
+            return smallvec![Action::Choose];
+        };
+        if record.content != self.content {
+            return self.finish(Verdict::Mismatch);
+        }
+        let attempt = (record.attempt, record.place.clone());
+        match &record.state {
+            State::Done(Some(answer)) => {
+                let answer = answer.clone();
+                self.finish(Verdict::Answer(answer))
+            }
+            State::Reserved | State::Done(None) => smallvec![Action::Join(attempt)],
+            State::NotRun => smallvec![Action::Choose],
+            State::Unknown => self.finish(Verdict::Unknown),
+        }
+    }
+
+    /// The row exists or a reply was lost, so that the call cannot be said not to have run.
+    fn read_failed(&mut self, now: Instant) -> Actions {
+        if !self.finished && now + RETRY < self.deadline {
+            return self.wait(RETRY, Action::Read);
+        }
+        self.finish(Verdict::Unknown)
+    }
+
+    /// No target takes another attempt.
+    fn give_up(&mut self, reason: Reason) -> Actions {
+        let verdict = Verdict::NotRun(reason);
+        match &self.known {
+            Some((_, record)) if record.state == State::Reserved => {
+                self.record(State::NotRun, Purpose::Settle(verdict))
+            }
+            _ => self.finish(verdict),
+        }
+    }
+
+    fn sent(&mut self, sent: Sent) -> Actions {
+        match sent {
+            Sent::Answered(answer) => self.answered(answer),
+            Sent::Refused(_) => smallvec![Action::Choose],
+            Sent::Unknown => self.record(State::Unknown, Purpose::Settle(Verdict::Unknown)),
+        }
+    }
+
+    fn answered(&mut self, answer: Answer) -> Actions {
+        let kept = Some(answer.clone()).filter(|answer| answer.body.len() <= MAX_BODY);
+        let mut actions = self.finish(Verdict::Answer(answer));
+        actions.extend(self.record(State::Done(kept), Purpose::Complete));
+        actions
+    }
+
+    fn joined(&mut self, now: Instant, joined: Joined) -> Actions {
+        let (_, record) = self.known.as_ref().expect("a joined attempt has a record");
+        let attempt = (record.attempt, record.place.clone());
+        let ran = matches!(record.state, State::Done(_));
+        match joined {
+            Joined::Answered(answer) if ran => self.finish(Verdict::Answer(answer)),
+            Joined::Answered(answer) => self.answered(answer),
+            // It ran, but its answer is nowhere any more.
+            Joined::NotSeen | Joined::Unknown if ran => self.finish(Verdict::Unknown),
+            Joined::NotSeen if self.graced => smallvec![Action::Revoke(attempt)],
+            Joined::NotSeen => {
+                self.graced = true;
+                self.wait(GRACE, Action::Join(attempt))
+            }
+            Joined::Unknown => smallvec![Action::Revoke(attempt)],
+            Joined::Unreachable if now + RETRY < self.deadline => self.wait(RETRY, Action::Read),
+            // The first entry may still reach the target, so that nothing is recorded.
+            Joined::Unreachable => self.finish(Verdict::Unknown),
+        }
+    }
+
+    fn revoked(&mut self, now: Instant, revoked: Option<Revoked>) -> Actions {
+        let (_, record) = self.known.as_ref().expect("a revoked attempt has a record");
+        let attempt = (record.attempt, record.place.clone());
+        match revoked {
+            Some(Revoked::NotRun) => smallvec![Action::Choose],
+            Some(Revoked::Running | Revoked::Finished) if now < self.deadline => {
+                self.wait(RETRY, Action::Join(attempt))
+            }
+            None if now + RETRY < self.deadline => self.wait(RETRY, Action::Read),
+            Some(Revoked::Unknown) => {
+                self.record(State::Unknown, Purpose::Settle(Verdict::Unknown))
+            }
+            Some(Revoked::Running | Revoked::Finished) | None => self.finish(Verdict::Unknown),
+        }
+    }
+
+    fn wait(&mut self, length: Duration, then: Action) -> Actions {
+        self.resume = Some(then);
+        smallvec![Action::Wait(length)]
+    }
+
+    fn finish(&mut self, verdict: Verdict) -> Actions {
+        if self.finished {
+            return Actions::new();
+        }
+        self.finished = true;
+        smallvec![Action::Finish(verdict)]
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-idempotency/tests/world/mod.rs
@@ -0,0 +1,251 @@
+//! Sidecars with a ledger of attempts, a transport that loses calls, and a count of runs.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime};
+
+use ebonylug_core::{AttemptId, Clock, Incarnation, Name, Reason, Revoked};
+use ebonylug_idempotency::{Answer, Joined, Place, Sent, Transport};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// The clock of the paused runtime.
+pub struct RuntimeClock;
+
+impl Clock for RuntimeClock {
+    fn now(&self) -> Instant {
+        tokio::time::Instant::now().into_std()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH
+    }
+}
+
+#[derive(Clone)]
+enum Entry {
+    Running,
+    Finished(Answer),
+    Tombstone,
+}
+
+#[derive(Default)]
+struct Sidecar {
+    incarnation: u64,
+    ledger: HashMap<AttemptId, Entry>,
+}
+
+/// One run of a call at a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Run {
+    pub key: String,
+    pub content: u8,
+    pub attempt: AttemptId,
+}
+
+#[derive(Default)]
+struct State {
+    sidecars: [Sidecar; 2],
+    runs: Vec<Run>,
+}
+
+#[derive(Clone)]
+pub struct World {
+    state: Arc<Mutex<State>>,
+    rng: Arc<Mutex<ChaCha8Rng>>,
+    /// Faults in 1,000 calls of the transport.
+    faults: Arc<Mutex<u64>>,
+}
+
+impl World {
+    pub fn new(seed: u64, faults: u64) -> Self {
+        World {
+            state: Arc::default(),
+            rng: Arc::new(Mutex::new(ChaCha8Rng::seed_from_u64(seed))),
+            faults: Arc::new(Mutex::new(faults)),
+        }
+    }
+
+    pub fn set_faults(&self, faults: u64) {
+        *self.faults.lock().unwrap() = faults;
+    }
+
+    pub fn draw(&self, below: u64) -> u64 {
+        self.rng.lock().unwrap().random_range(0..below)
+    }
+
+    pub async fn pause(&self, millis: u64) {
+        tokio::time::sleep(Duration::from_millis(self.draw(millis))).await;
+    }
+
+    pub fn runs(&self, key: &str) -> Vec<Run> {
+        let state = self.state.lock().unwrap();
+        state
+            .runs
+            .iter()
+            .filter(|run| run.key == key)
+            .cloned()
+            .collect()
+    }
+
+    /// Replaces a sidecar by a new process, which knows nothing of earlier attempts.
+    pub fn restart(&self, index: usize) {
+        let mut state = self.state.lock().unwrap();
+        let incarnation = state.sidecars[index].incarnation + 1;
+        state.sidecars[index] = Sidecar {
+            incarnation,
+            ledger: HashMap::new(),
+        };
+    }
+
+    pub fn place(&self, index: usize) -> Place {
+        let state = self.state.lock().unwrap();
+        let incarnation = Incarnation(state.sidecars[index].incarnation);
+        Place {
+            target: Name::new(&index.to_string()),
+            incarnation,
+        }
+    }
+
+    fn fails(&self) -> bool {
+        let faults = *self.faults.lock().unwrap();
+        self.draw(1_000) < faults
+    }
+
+    /// Runs a closure with the sidecar of a place; `None` if it has restarted since.
+    fn with<T>(
+        &self,
+        place: &Place,
+        f: impl FnOnce(&mut Sidecar, &mut Vec<Run>) -> T,
+    ) -> Option<T> {
+        let mut state = self.state.lock().unwrap();
+        let State { sidecars, runs } = &mut *state;
+        let sidecar = &mut sidecars[place.target.as_str().parse::<usize>().unwrap()];
+        (sidecar.incarnation == place.incarnation.0).then(|| f(sidecar, runs))
+    }
+
+    /// An attempt arrives at its sidecar.
+    fn arrive(&self, run: Run, place: &Place) -> Result<(), Reason> {
+        let full = self.fails();
+        let admitted = self.with(place, |sidecar, runs| {
+            match sidecar.ledger.get(&run.attempt) {
+                Some(Entry::Tombstone) => Err(Reason::Revoked),
+                Some(_) => Ok(()),
+                None if full => Err(Reason::Full),
+                None => {
+                    sidecar.ledger.insert(run.attempt, Entry::Running);
+                    runs.push(run.clone());
+                    let (world, place) = (self.clone(), place.clone());
+                    tokio::spawn(async move { world.execute(run, place).await });
+                    Ok(())
+                }
+            }
+        });
+        admitted.unwrap_or(Err(Reason::Incarnation))
+    }
+
+    async fn execute(&self, run: Run, place: Place) {
+        self.pause(200).await;
+        let body = format!("{} {}", run.key, run.attempt);
+        let answer = Answer {
+            status: 201,
+            headers: vec![("content-type".into(), "text/plain".into())],
+            body: body.into(),
+        };
+        self.with(&place, |sidecar, _| {
+            sidecar.ledger.insert(run.attempt, Entry::Finished(answer))
+        });
+    }
+
+    /// Waits for the end of an attempt.
+    async fn answer(&self, attempt: AttemptId, place: &Place) -> Joined {
+        loop {
+            let entry = self.with(place, |sidecar, _| sidecar.ledger.get(&attempt).cloned());
+            match entry {
+                None => return Joined::Unknown,
+                Some(None | Some(Entry::Tombstone)) => return Joined::NotSeen,
+                Some(Some(Entry::Finished(answer))) => return Joined::Answered(answer),
+                Some(Some(Entry::Running)) => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        }
+    }
+}
+
+/// The transport of one caller's request.
+pub struct Caller {
+    pub world: World,
+    pub key: String,
+    pub content: u8,
+    pub deadline: Instant,
+    /// The attempts that were sent.
+    pub sent: Arc<Mutex<HashSet<AttemptId>>>,
+}
+
+impl Transport for Caller {
+    async fn choose(&self) -> Result<Place, Reason> {
+        self.world.pause(20).await;
+        if RuntimeClock.now() >= self.deadline || self.world.fails() {
+            return Err(Reason::Shed);
+        }
+        Ok(self.world.place(self.world.draw(2) as usize))
+    }
+
+    async fn send(&self, attempt: AttemptId, place: &Place) -> Sent {
+        self.sent.lock().unwrap().insert(attempt);
+        self.world.pause(10).await;
+        let run = Run {
+            key: self.key.clone(),
+            content: self.content,
+            attempt,
+        };
+        if self.world.fails() {
+            // Lost, or on its way for longer than the entry waits.
+            if self.world.draw(2) == 0 {
+                let (world, place) = (self.world.clone(), place.clone());
+                tokio::spawn(async move {
+                    world.pause(3_000).await;
+                    let _ = world.arrive(run, &place);
+                });
+            }
+            return Sent::Unknown;
+        }
+        if let Err(reason) = self.world.arrive(run, place) {
+            return Sent::Refused(reason);
+        }
+        if self.world.fails() {
+            return Sent::Unknown;
+        }
+        match self.world.answer(attempt, place).await {
+            Joined::Answered(answer) => Sent::Answered(answer),
+            _ => Sent::Unknown,
+        }
+    }
+
+    async fn join(&self, attempt: AttemptId, place: &Place) -> Joined {
+        self.world.pause(10).await;
+        if self.world.fails() {
+            return Joined::Unreachable;
+        }
+        self.world.answer(attempt, place).await
+    }
+
+    async fn revoke(&self, attempt: AttemptId, place: &Place) -> Option<Revoked> {
+        self.world.pause(10).await;
+        let lost = self.world.fails();
+        let revoked = self
+            .world
+            .with(place, |sidecar, _| match sidecar.ledger.get(&attempt) {
+                None | Some(Entry::Tombstone) => {
+                    sidecar.ledger.insert(attempt, Entry::Tombstone);
+                    Revoked::NotRun
+                }
+                Some(Entry::Running) => Revoked::Running,
+                Some(Entry::Finished(_)) => Revoked::Finished,
+            });
+        (!lost).then_some(revoked.unwrap_or(Revoked::Unknown))
+    }
+
+    async fn wait(&self, length: Duration) {
+        tokio::time::sleep(length).await;
+    }
+}
