--- a/crates/ebonylug-measure/src/engine.rs
+++ b/crates/ebonylug-measure/src/engine.rs
@@ -98,7 +98,8 @@
 pub struct Stream {
     /// Its work.
     pub work: Work,
-    prefill: f64,
+    /// Prompt tokens that are still to be computed; nothing once the first token is out.
+    prefill: Option<f64>,
     decode: f64,
     produced: f64,
     told: u64,
@@ -222,7 +223,7 @@
             Kind::Service { .. } => work.output,
         };
         self.streams.push_back(Stream {
-            prefill: 0.0,
+            prefill: None,
             decode: decode as f64,
             produced: 0.0,
             told: 0,
@@ -282,13 +283,7 @@
         let (prefill, decode) = self.rates();
         let running = self.streams.iter().take(self.slots());
         let time = running
-            .map(|s| {
-                if s.prefill > 0.0 {
-                    s.prefill / prefill
-                } else {
-                    s.decode / decode
-                }
-            })
+            .map(|s| s.prefill.map_or(s.decode / decode, |left| left / prefill))
             .fold(f64::INFINITY, f64::min);
         let phase = self.now + (time * SECOND as f64).ceil().max(1.0) as u64;
         // A stalled engine is looked at again, so that the end of a cold start is not missed.
@@ -362,7 +357,7 @@
                 hit += self.cache.get(own_key(work.attempt)).unwrap_or(0).min(own);
             }
             // The last token is computed in any case.
-            stream.prefill = (shared + own).saturating_sub(hit).max(1) as f64;
+            stream.prefill = Some((shared + own).saturating_sub(hit).max(1) as f64);
             self.hits += hit as f64;
         }
     }
@@ -376,7 +371,7 @@
         let (mut prefills, mut decodes, mut memory) = (0.0, 0.0, 0.0);
         for stream in running {
             memory += stream.memory();
-            if stream.prefill > 0.0 {
+            if stream.prefill.is_some() {
                 prefills += 1.0;
             } else {
                 decodes += 1.0;
@@ -408,9 +403,9 @@
         let slots = self.slots();
         let model = matches!(self.kind, Kind::Model(_));
         for stream in self.streams.iter_mut().take(slots) {
-            if stream.prefill > 0.0 {
-                let done = (prefill * seconds).min(stream.prefill);
-                stream.prefill -= done;
+            if let Some(left) = &mut stream.prefill {
+                let done = (prefill * seconds).min(*left);
+                *left -= done;
                 stream.computed += done;
                 self.prefilled += done;
             } else {
@@ -431,14 +426,14 @@
         let mut done = Vec::new();
         let mut poisoned = false;
         for stream in self.streams.iter_mut().take(slots) {
-            if stream.prefill > 0.0 && stream.prefill <= DONE {
-                stream.prefill = 0.0;
+            if stream.prefill.is_some_and(|left| left <= DONE) {
+                stream.prefill = None;
                 poisoned |= stream.work.poison;
                 for block in &stream.work.shared {
                     self.cache.insert(*block, BLOCK);
                 }
                 events.push(EngineEvent::FirstToken(stream.work.attempt));
-            } else if stream.prefill == 0.0 && stream.decode <= DONE {
+            } else if stream.prefill.is_none() && stream.decode <= DONE {
                 // Rounding must not lose the last token.
                 stream.produced = if model { stream.produced.round() } else { 0.0 };
                 done.push(stream.work.attempt);
@@ -479,7 +474,7 @@
 
     fn end(&mut self, stream: &Stream) -> Ended {
         if let Kind::Model(_) = self.kind
-            && stream.prefill == 0.0
+            && stream.prefill.is_none()
             && stream.started
         {
             let work = &stream.work;
@@ -491,9 +486,10 @@
 }
 
 impl Stream {
+    /// Returns the tokens that the stream holds. Shared blocks lie in the prefix cache.
     fn memory(&self) -> f64 {
-        let prompt = self.work.own + self.work.shared.len() as u64 * BLOCK + self.work.offset;
-        prompt as f64 - self.prefill + self.produced
+        let own = (self.work.own + self.work.offset) as f64;
+        (own - self.prefill.unwrap_or(0.0)).max(0.0) + self.produced
     }
 
     fn ended(&self) -> Ended {
