--- a/crates/ebonylug-measure/src/dispatch.rs
+++ b/crates/ebonylug-measure/src/dispatch.rs
@@ -154,10 +154,6 @@
         .max()
         .unwrap_or(0);
     measures.crashes = core.crashes;
-    let routes = &core.deployment.routes;
-    let orders = (0..core.jobs.len())
-        .filter(|job| routes[core.jobs[*job].route].repeat == ebonylug_core::Repeat::No);
-    measures.twice_orders = core.tally.twice_among(orders);
     let seconds = (window.1 - window.0) as f64 / SECOND as f64;
     let left = capacity - measures.urgent_done / seconds;
     let batch_part = measures.batch_done / seconds / left.min(batch_offered).max(1e-9);
--- a/crates/ebonylug-measure/src/faults.rs
+++ b/crates/ebonylug-measure/src/faults.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use crate::deployment::Deployment;
 use crate::engine::SECOND;
 use crate::random::Random;
 use crate::world::Node;
@@ -90,6 +91,12 @@
         from != to && (self.dark.contains(&from) || self.dark.contains(&to))
     }
 
+    /// Reports whether a zone is dark.
+    #[must_use]
+    pub fn is_dark(&self, zone: usize) -> bool {
+        self.dark.contains(&zone)
+    }
+
     /// Reports whether a process is dead.
     #[must_use]
     pub fn is_dead(&self, node: Node) -> bool {
@@ -107,66 +114,52 @@
 
 /// Draws the faults of a short case: each kind with some probability, some of them twice.
 #[must_use]
-pub fn draw(
-    targets: usize,
-    models: usize,
-    entries: usize,
-    zones: usize,
-    length: u64,
-    seed: u64,
-) -> Vec<(u64, Fault)> {
+pub fn draw(deployment: &Deployment, length: u64, seed: u64) -> Vec<(u64, Fault)> {
     let mut random = Random::new(seed, 1_000);
     let mut faults = Vec::new();
     for _ in 0..2 {
-        let when = |random: &mut Random| (random.between(0.2, 0.8) * length as f64) as u64;
-        if random.chance(0.5) {
-            faults.push((when(&mut random), Fault::Crash(random.below(targets))));
-        }
-        if random.chance(0.4) {
-            faults.push((when(&mut random), Fault::SilentCold(random.below(models))));
-        }
-        if random.chance(0.5) {
-            faults.push((
-                when(&mut random),
-                Fault::SidecarRestart(random.below(targets)),
-            ));
-        }
-        if random.chance(0.5) {
-            let pair = (random.below(entries), random.below(targets));
-            faults.push((when(&mut random), Fault::Silent(pair.0, pair.1)));
-        }
-        if random.chance(0.4) {
-            let at = when(&mut random);
-            faults.push((at, Fault::Late((random.unit() * SECOND as f64) as u64)));
-            faults.push((at + 3 * SECOND, Fault::Late(0)));
-        }
-        if random.chance(0.3) {
-            let at = when(&mut random);
-            faults.push((at, Fault::StoreDown));
-            faults.push((at + 4 * SECOND, Fault::StoreUp));
-        }
-        if random.chance(0.3) {
-            faults.push((
-                when(&mut random),
-                Fault::LostReplies(random.between(0.05, 0.5)),
-            ));
-        }
-        if random.chance(0.25) {
-            let (at, zone) = (when(&mut random), random.below(zones));
-            let dark = random.chance(0.5);
-            let (out, back) = if dark {
-                (Fault::Dark(zone), Fault::Light(zone))
-            } else {
-                (Fault::Drain(zone), Fault::Restore(zone))
-            };
-            faults.push((at, out));
-            faults.push((at + 6 * SECOND, back));
+        for kind in 0..7 {
+            if random.chance(0.4) {
+                let at = (random.between(0.2, 0.8) * length as f64) as u64;
+                faults.extend(draw_one(deployment, kind, at, &mut random));
+            }
         }
     }
     if random.chance(0.25) {
         let at = (random.between(0.3, 0.7) * length as f64) as u64;
-        faults.push((at, Fault::EntryDeath(random.below(entries))));
+        faults.push((at, Fault::EntryDeath(random.below(deployment.entries))));
     }
     faults.sort_by_key(|(at, _)| *at);
     faults
 }
+
+/// Draws a fault of one kind, with the end of those that end.
+fn draw_one(deployment: &Deployment, kind: u32, at: u64, random: &mut Random) -> Vec<(u64, Fault)> {
+    let target = random.below(deployment.targets.len());
+    let zone = random.below(deployment.zones.len());
+    match kind {
+        0 => vec![(at, Fault::Crash(target))],
+        1 => vec![(at, Fault::SilentCold(target))],
+        2 => vec![(at, Fault::SidecarRestart(target))],
+        3 => vec![(at, Fault::Silent(random.below(deployment.entries), target))],
+        4 => {
+            let late = (random.unit() * SECOND as f64) as u64;
+            vec![(at, Fault::Late(late)), (at + 3 * SECOND, Fault::Late(0))]
+        }
+        5 => vec![
+            (at, Fault::StoreDown),
+            (at, Fault::LostReplies(random.between(0.05, 0.5))),
+            (at + 4 * SECOND, Fault::StoreUp),
+        ],
+        _ if random.chance(0.5) => {
+            vec![
+                (at, Fault::Dark(zone)),
+                (at + 6 * SECOND, Fault::Light(zone)),
+            ]
+        }
+        _ => vec![
+            (at, Fault::Drain(zone)),
+            (at + 6 * SECOND, Fault::Restore(zone)),
+        ],
+    }
+}
--- a/crates/ebonylug-measure/src/lib.rs
+++ b/crates/ebonylug-measure/src/lib.rs
@@ -11,8 +11,8 @@
 //! * [`world`] is the event loop. [`product`] runs real routers and admissions in it, and
 //!   [`naive`] the baseline.
 //! * [`tally`] records what callers and engines see, whatever the policy believes.
-//! * [`dispatch`] is a measurement; it prints the targets of the design page beside the figures.
-//!   The targets are never moved.
+//! * [`dispatch`] and [`soak`] are measurements. Each prints the targets of the design page
+//!   beside the figures; the targets are never moved.
 //!
 //! # Example
 //!
@@ -35,6 +35,7 @@
 pub mod product;
 pub mod random;
 pub mod report;
+pub mod soak;
 pub mod tally;
 pub mod workload;
 pub mod world;
--- a/crates/ebonylug-measure/src/main.rs
+++ b/crates/ebonylug-measure/src/main.rs
@@ -2,7 +2,7 @@
 
 use bpaf::Bpaf;
 use ebonylug_measure::deployment::Deployment;
-use ebonylug_measure::{dispatch, report};
+use ebonylug_measure::{dispatch, report, soak};
 
 /// Compares the product's decisions with a naive policy in virtual time.
 #[derive(Clone, Debug, Bpaf)]
@@ -25,6 +25,21 @@
         /// Prints JSON instead of tables.
         json: bool,
     },
+    /// Short cases with random failures.
+    #[bpaf(command)]
+    Soak {
+        /// The number of seeds, from 1 on.
+        #[bpaf(argument("N"), fallback(1000))]
+        seeds: u64,
+        /// Runs only this seed.
+        #[bpaf(argument("SEED"))]
+        seed: Option<u64>,
+        /// Runs only this deployment: fibras, scaleward.
+        #[bpaf(argument("NAME"))]
+        case: Option<String>,
+        /// Prints JSON instead of tables.
+        json: bool,
+    },
 }
 
 fn main() {
@@ -36,9 +51,53 @@
             trace,
             json,
         } => run_dispatch(seeds, seed, case.as_deref(), trace, json),
+        Command::Soak {
+            seeds,
+            seed,
+            case,
+            json,
+        } => run_soak(seeds, seed, case.as_deref(), json),
     }
 }
 
+/// Returns the deployments that are to be measured.
+fn deployments(name: Option<&str>) -> Vec<Deployment> {
+    let names = name.map_or(vec!["fibras", "scaleward"], |name| vec![name]);
+    let named = |name| {
+        Deployment::named(name).unwrap_or_else(|| {
+            eprintln!("measure: no case is named {name}");
+            std::process::exit(2);
+        })
+    };
+    names.into_iter().map(named).collect()
+}
+
+fn run_soak(seeds: u64, seed: Option<u64>, case: Option<&str>, json: bool) {
+    let seeds = seed.map_or(1..=seeds, |seed| seed..=seed);
+    let mut tasks = Vec::new();
+    for deployment in deployments(case) {
+        tasks.extend(seeds.clone().map(|seed| (deployment.clone(), seed)));
+    }
+    let cases =
+        ebonylug_measure::parallel(tasks, |(deployment, seed)| soak::case(&deployment, seed));
+    let targets = soak::targets(&cases);
+    if json {
+        let value = serde_json::json!({ "cases": cases, "targets": targets });
+        println!("{value:#}");
+        return;
+    }
+    for table in soak::tables(&cases) {
+        println!("{table}");
+    }
+    for [product, _] in &cases {
+        for (rule, count) in soak::violations(&product.measures) {
+            let (name, seed) = (product.deployment, product.seed);
+            println!("violated: {rule} {count}; ebonylug-measure soak --case {name} --seed {seed}");
+        }
+    }
+    println!("{}", report::targets(&targets));
+}
+
 fn run_dispatch(seeds: u64, seed: Option<u64>, case: Option<&str>, trace: bool, json: bool) {
     let (name, load) = match case.map(|case| case.split_once(':').unwrap_or((case, ""))) {
         Some((name, load)) => (Some(name), load.parse::<f64>().ok()),
@@ -46,12 +105,7 @@
     };
     let seeds = seed.map_or(1..=seeds, |seed| seed..=seed);
     let mut tasks = Vec::new();
-    let names = name.map_or(vec!["fibras", "scaleward"], |name| vec![name]);
-    for name in names {
-        let Some(deployment) = Deployment::named(name) else {
-            eprintln!("dispatch: no case is named {name}");
-            std::process::exit(2);
-        };
+    for deployment in deployments(name) {
         for at in dispatch::LOADS {
             if load.is_none_or(|load| load == at) {
                 tasks.extend(seeds.clone().map(|seed| (deployment.clone(), at, seed)));
--- a/crates/ebonylug-measure/src/product.rs
+++ b/crates/ebonylug-measure/src/product.rs
@@ -69,8 +69,8 @@
     Tail(AttemptId, Tail),
     /// A load report of a target.
     Report(usize, LoadReport),
-    /// The connections to a target are alive.
-    Alive(usize),
+    /// Keep-alive frames on the connections of these attempts.
+    Alive(Vec<AttemptId>),
     /// An entry asks what became of an attempt.
     Revoke(usize, AttemptId, Incarnation),
     /// The answer to it.
--- a/crates/ebonylug-measure/src/product/entry.rs
+++ b/crates/ebonylug-measure/src/product/entry.rs
@@ -49,7 +49,6 @@
 #[derive(Clone, Copy, Default)]
 struct Contact {
     reported: u64,
-    alive: u64,
     incarnation: Option<Incarnation>,
     silent: bool,
 }
@@ -188,7 +187,14 @@
                 self.router
                     .report(core.instant(), self.targets[target], &report);
             }
-            Message::Alive(target) => self.contacts[target].alive = now,
+            Message::Alive(attempts) => {
+                for attempt in attempts {
+                    if let Some(live) = self.live.get_mut(&attempt) {
+                        live.heard = now;
+                        live.began = true;
+                    }
+                }
+            }
             Message::Revoked(attempt, revoked) => self.revoked(core, attempt, revoked),
             Message::Crashes(crashes) => self.learn_crashes(core, &crashes),
             Message::Configure(revision, zone, drained) => {
@@ -291,13 +297,13 @@
         let mut lost = Vec::new();
         for (attempt, live) in &mut self.live {
             let contact = &self.contacts[live.target];
-            let (heard, timeout) = if live.began {
-                (live.heard.max(contact.alive), SILENCE)
+            let timeout = if live.began {
+                SILENCE
             } else {
-                (live.heard, ADMISSION_TIMEOUT)
+                ADMISSION_TIMEOUT
             };
             let restarted = contact.incarnation.is_some_and(|i| i > live.incarnation);
-            if core.now < heard + timeout && !restarted && live.tries == 0 {
+            if core.now < live.heard + timeout && !restarted && live.tries == 0 {
                 continue;
             }
             live.tries += 1;
--- a/crates/ebonylug-measure/src/product/sidecar.rs
+++ b/crates/ebonylug-measure/src/product/sidecar.rs
@@ -141,15 +141,25 @@
         self.ended.retain(|_, (at, _)| *at >= oldest);
         if core.now >= self.alive + KEEP_ALIVE {
             self.alive = core.now;
-            for entry in 0..core.deployment.entries {
-                self.send(core, entry, Message::Alive(self.target));
-            }
+            self.keep_alive(core);
         }
         if core.now >= self.reported + REPORT_EVERY {
             self.report(core);
         }
     }
 
+    fn keep_alive(&self, core: &mut Core<Message>) {
+        for entry in 0..core.deployment.entries {
+            let own = |(attempt, running): (&AttemptId, &Running)| {
+                (running.entry == entry).then_some(*attempt)
+            };
+            let attempts: Vec<AttemptId> = self.running.iter().filter_map(own).collect();
+            if !attempts.is_empty() {
+                self.send(core, entry, Message::Alive(attempts));
+            }
+        }
+    }
+
     fn offer(&mut self, core: &mut Core<Message>, entry: usize, offer: ebonylug_core::Offer) {
         let attempt = offer.attempt;
         let (offset, urgent) = (offer.offset, offer.tier.is_interactive());
--- a/crates/ebonylug-measure/src/tally.rs
+++ b/crates/ebonylug-measure/src/tally.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashSet};
 
-use ebonylug_core::{AttemptId, Reason};
+use ebonylug_core::{AttemptId, Reason, Repeat};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
@@ -145,12 +145,13 @@
             refused_runs: self.refused_runs,
             extra_conclusions: self.extra_conclusions,
             preemptions: self.preemptions,
+            twice_orders: self.repeated_orders(deployment, jobs),
             ..Measures::default()
         };
         let mut needed = Needed::default();
         let mut fair = vec![0.0; deployment.organisations.len()];
         for (job, record) in jobs.iter().zip(&self.records) {
-            measures.count(job, record);
+            measures.count(record);
             needed.count(job, record);
             let route = &deployment.routes[job.route];
             let in_time = record.in_time(job);
@@ -172,7 +173,7 @@
             }
             let tier = measures.tiers.entry(route.name).or_default();
             tier.count(job, record, job.tokens(route), in_time);
-            let missed = tier_missed(job, record);
+            let missed = !in_time;
             if route.tier.is_interactive() && route.tier.rank == 0 && missed && record.beside_batch
             {
                 measures.missed_beside_batch += 1;
@@ -188,10 +189,6 @@
     }
 }
 
-fn tier_missed(job: &Job, record: &Record) -> bool {
-    !record.in_time(job)
-}
-
 impl Record {
     fn in_time(&self, job: &Job) -> bool {
         matches!(self.end, Some((at, Conclusion::Answered)) if at <= job.deadline)
@@ -238,8 +235,7 @@
 }
 
 impl Measures {
-    fn count(&mut self, job: &Job, record: &Record) {
-        let _ = job;
+    fn count(&mut self, record: &Record) {
         self.twice += u64::from(record.twice > 0);
         match record.end {
             None => self.lost += 1,
@@ -346,10 +342,18 @@
 }
 
 impl Tally {
-    /// Counts the requests that must not be repeated among those that ran twice.
+    /// Counts the calls that must not be repeated and ran more than once, be it as one request
+    /// or as a request that was sent again with the same key.
     #[must_use]
-    pub fn twice_among(&self, jobs: impl Iterator<Item = usize>) -> u64 {
-        jobs.filter(|job| self.records[*job].twice > 0).count() as u64
+    pub fn repeated_orders(&self, deployment: &Deployment, jobs: &[Job]) -> u64 {
+        let mut runs: BTreeMap<u64, u32> = BTreeMap::new();
+        for (job, record) in jobs.iter().zip(&self.records) {
+            let route = &deployment.routes[job.route];
+            if route.repeat == Repeat::No && record.ever {
+                *runs.entry(job.content).or_default() += 1 + record.twice;
+            }
+        }
+        runs.values().filter(|runs| **runs > 1).count() as u64
     }
 }
 
--- a/crates/ebonylug-measure/src/world.rs
+++ b/crates/ebonylug-measure/src/world.rs
@@ -7,7 +7,7 @@
 use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
 
-use ebonylug_core::AttemptId;
+use ebonylug_core::{AttemptId, Reason, Repeat};
 
 use crate::deployment::Deployment;
 use crate::engine::{Ended, Engine, EngineEvent, SECOND, Work};
@@ -144,6 +144,7 @@
     }
     policy.begin(&mut core);
     let mut open = core.jobs.len();
+    let mut handled = 0_u64;
     while let Some(Reverse(next)) = core.events.pop() {
         if next.at > end {
             break;
@@ -152,7 +153,8 @@
         core.handle(policy, next.event);
         core.drain(policy);
         // The idle processes tick for ever, so the end is found by the callers.
-        if core.sequence % 4_096 == 0 && core.now > core.last_arrival() {
+        handled += 1;
+        if handled.is_multiple_of(4_096) && core.now > core.last_arrival() {
             open = (0..core.jobs.len())
                 .filter(|job| !core.tally.is_concluded(*job))
                 .count();
@@ -300,8 +302,12 @@
             return;
         }
         self.resends += 1;
+        self.send_again(job, SECOND / 2);
+    }
+
+    fn send_again(&mut self, job: usize, pause: u64) {
         let mut again = self.jobs[job].clone();
-        again.at = self.now + SECOND / 2;
+        again.at = self.now + pause;
         again.deadline = again.at + 30 * SECOND;
         again.entry = (again.entry + 1) % self.deployment.entries;
         self.jobs.push(again);
@@ -329,7 +335,16 @@
 
     fn handle<P: Policy<Message = M>>(&mut self, policy: &mut P, event: Event<M>) {
         match event {
-            Event::Arrive(job) => policy.arrive(self, job),
+            Event::Arrive(job) => {
+                // A caller that reaches no entry is told so at once by the load balancer.
+                match self.reachable(self.jobs[job].entry) {
+                    Some(entry) => {
+                        self.jobs[job].entry = entry;
+                        policy.arrive(self, job);
+                    }
+                    None => self.conclude(job, Conclusion::Refused(Reason::NoTarget)),
+                }
+            }
             Event::Engine(target, generation) if self.generations[target] == generation => {
                 self.advance(target);
                 self.reschedule(target);
@@ -373,6 +388,37 @@
         }
         self.network.apply(fault);
         policy.fault(self, fault);
+        if let Fault::EntryDeath(entry) = *fault {
+            self.break_callers(entry);
+        }
+    }
+
+    /// Returns the entry that the load balancer chooses in place of one that cannot be reached.
+    fn reachable(&self, entry: usize) -> Option<usize> {
+        let entries = self.deployment.entries;
+        let mut candidates = (0..entries).map(|step| (entry + step) % entries);
+        let well = |entry: &usize| {
+            let node = Node::Entry(*entry);
+            !self.network.is_dead(node) && !self.network.is_dark(self.zone(node))
+        };
+        candidates.find(well)
+    }
+
+    /// The callers of an entry that died see their connections break.
+    fn break_callers(&mut self, entry: usize) {
+        let open = |job: &usize| {
+            let request = &self.jobs[*job];
+            request.entry == entry && request.at < self.now && !self.tally.is_concluded(*job)
+        };
+        let broken: Vec<usize> = (0..self.jobs.len()).filter(open).collect();
+        for job in broken {
+            self.tally.conclude(job, self.now, Conclusion::Broken);
+            let route = &self.deployment.routes[self.jobs[job].route];
+            if route.repeat == Repeat::No {
+                // The key of the call makes it safe to send it again.
+                self.send_again(job, SECOND / 5);
+            }
+        }
     }
 
     /// Handles what happened inside the targets, until nothing more happens.
