--- a/crates/ebonylug-admission/src/admission.rs
+++ b/crates/ebonylug-admission/src/admission.rs
@@ -297,7 +297,9 @@
         self.limit.roll(&self.settings, now, used);
     }
 
-    fn has_run(&self, attempt: AttemptId) -> bool {
+    /// Reports whether an attempt runs, or ended within the retention period.
+    #[must_use]
+    pub fn has_run(&self, attempt: AttemptId) -> bool {
         self.streams.contains(attempt) || self.ledger.ended(attempt).is_some()
     }
 
--- a/crates/ebonylug-entry/src/attempt.rs
+++ b/crates/ebonylug-entry/src/attempt.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
-use ebonylug_core::{Clock, End, Offer, Outcome, Reason, Refusal, Revoked};
+use ebonylug_core::{AttemptId, Clock, End, Incarnation, Offer, Outcome, Reason, Refusal, Revoked};
 use ebonylug_events::Stamp;
 use ebonylug_net::client::{self, Client};
 use ebonylug_net::frame::{Frame, Reader, Tail};
@@ -52,6 +52,19 @@
     clock: Arc<dyn Clock>,
 }
 
+/// What is known of an attempt at a sidecar.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fetched {
+    /// The whole answer was read.
+    Whole,
+    /// The sidecar has not run the attempt.
+    NotSeen,
+    /// It has run, or may have, and there is no whole answer.
+    Gone,
+    /// The sidecar does not answer.
+    Unreachable,
+}
+
 enum Step {
     Done(Outcome),
     /// The connection broke or went silent; what became of the attempt must be asked.
@@ -88,8 +101,7 @@
         let mut run = Run {
             peer: self,
             offer,
-            sink,
-            offset: 0,
+            reading: Reading::new(sink, &*self.clock),
         };
         let mut step = run.dispatch(call, sent).await;
         loop {
@@ -101,6 +113,38 @@
         }
     }
 
+    /// Reads the whole answer of an attempt that this or another entry has sent.
+    pub async fn fetch(
+        &self,
+        attempt: AttemptId,
+        incarnation: Incarnation,
+        sink: &mut Sink,
+    ) -> Fetched {
+        let path = format!("/attempts/{attempt}?offset=0");
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = self.uri(&path);
+        let headers = request.headers_mut();
+        headers.insert(header::AUTHORIZATION, self.bearer.clone());
+        headers.insert(wire::INCARNATION, value(&incarnation.to_string()));
+        let response = match self.client.send_fresh(request, ADMISSION_TIMEOUT).await {
+            Ok(response) => response,
+            Err(_) => return Fetched::Unreachable,
+        };
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::NOT_FOUND => return Fetched::NotSeen,
+            StatusCode::GONE => return Fetched::Gone,
+            _ => return Fetched::Unreachable,
+        }
+        let mut reading = Reading::new(sink, &*self.clock);
+        match reading.read(response.into_body()).await {
+            Read::Frame(Frame::Tail(tail)) if tail.end == End::Answered => Fetched::Whole,
+            Read::Frame(Frame::NotRun(_)) => Fetched::NotSeen,
+            Read::Frame(_) => Fetched::Gone,
+            Read::Broken | Read::HungUp => Fetched::Unreachable,
+        }
+    }
+
     fn uri(&self, path: &str) -> http::Uri {
         let uri = format!("http://{}{path}", self.data);
         uri.parse().expect("an address and a path make a URI")
@@ -111,9 +155,7 @@
 struct Run<'a> {
     peer: &'a Peer,
     offer: &'a Offer,
-    sink: &'a mut Sink,
-    /// Bytes of the answer's body that have arrived.
-    offset: u64,
+    reading: Reading<'a>,
 }
 
 impl Run<'_> {
@@ -138,7 +180,7 @@
     async fn receive(&mut self, response: Response<Incoming>) -> Step {
         match response.status() {
             StatusCode::OK => self.read(response.into_body()).await,
-            StatusCode::CONFLICT => refused(response.into_body(), self.sink).await,
+            StatusCode::CONFLICT => refused(response.into_body(), self.reading.sink).await,
             // It has run, and its answer is no longer retained.
             StatusCode::GONE => Step::Done(Outcome::Failed),
             // Rejected before it reached admission.
@@ -174,7 +216,10 @@
     }
 
     async fn resume(&mut self) -> Step {
-        let path = format!("/attempts/{}?offset={}", self.offer.attempt, self.offset);
+        let path = format!(
+            "/attempts/{}?offset={}",
+            self.offer.attempt, self.reading.offset
+        );
         let mut request = Request::new(Full::default());
         *request.uri_mut() = self.peer.uri(&path);
         request
@@ -195,21 +240,77 @@
         }
     }
 
+    async fn read(&mut self, body: Incoming) -> Step {
+        match self.reading.read(body).await {
+            Read::Frame(Frame::NotRun(refused)) => {
+                Step::Done(Outcome::Refused(refused.refusal, Some(refused.report)))
+            }
+            Read::Frame(Frame::Tail(tail)) => Step::Done(self.outcome(tail)),
+            Read::Frame(_) | Read::Broken => Step::Broken,
+            Read::HungUp => Step::HungUp,
+        }
+    }
+
+    fn outcome(&self, tail: Tail) -> Outcome {
+        match tail.end {
+            End::Answered => Outcome::Answered,
+            End::Cancelled if tail.preempted => Outcome::Preempted {
+                // The tail counts the tokens of the whole request, the router those of an attempt.
+                received: tail.tokens.saturating_sub(self.offer.offset),
+            },
+            End::Cancelled | End::Failed | End::Crashed => Outcome::Failed,
+        }
+    }
+
+    async fn abandon(&self) -> Outcome {
+        if let Err(error) = self.peer.link.cancel(self.offer.attempt).await {
+            tracing::debug!(attempt = %self.offer.attempt, %error, "entry: cancel was not answered");
+        }
+        Outcome::Failed
+    }
+}
+
+/// The answer of an attempt as it arrives, over one connection or several.
+struct Reading<'a> {
+    sink: &'a mut Sink,
+    clock: &'a dyn Clock,
+    /// Bytes of the answer's body that have arrived.
+    offset: u64,
+}
+
+/// Why reading has ended.
+enum Read {
+    /// The last frame of the answer.
+    Frame(Frame),
+    /// The connection broke or went silent.
+    Broken,
+    HungUp,
+}
+
+impl<'a> Reading<'a> {
+    fn new(sink: &'a mut Sink, clock: &'a dyn Clock) -> Self {
+        Reading {
+            sink,
+            clock,
+            offset: 0,
+        }
+    }
+
     /// Reads frames until the answer ends or the connection breaks.
-    async fn read(&mut self, mut body: Incoming) -> Step {
+    async fn read(&mut self, mut body: Incoming) -> Read {
         let mut reader = Reader::new();
         loop {
             match reader.next() {
                 Ok(Some(frame)) => {
-                    if let Some(step) = self.pass(frame).await {
-                        return step;
+                    if let Some(end) = self.pass(frame).await {
+                        return end;
                     }
                     continue;
                 }
                 Ok(None) => {}
                 Err(error) => {
                     tracing::warn!(%error, "entry: frames cannot be read");
-                    return Step::Broken;
+                    return Read::Broken;
                 }
             }
             match tokio::time::timeout(SILENCE_TIMEOUT, body.frame()).await {
@@ -219,59 +320,38 @@
                     }
                 }
                 // An answer without a tail has broken off, even if the connection was closed cleanly.
-                Ok(Some(Err(_)) | None) | Err(_) => return Step::Broken,
+                Ok(Some(Err(_)) | None) | Err(_) => return Read::Broken,
             }
             if self.sink.is_closed() {
-                return Step::HungUp;
+                return Read::HungUp;
             }
         }
     }
 
-    async fn pass(&mut self, frame: Frame) -> Option<Step> {
+    /// Passes a frame on; returns the last one.
+    async fn pass(&mut self, frame: Frame) -> Option<Read> {
         let passed = match frame {
-            Frame::NotRun(Refused {
-                refusal,
-                report,
-                stamp,
-            }) => {
+            Frame::NotRun(Refused { stamp, .. }) => {
                 self.sink.observe(stamp);
-                return Some(Step::Done(Outcome::Refused(refusal, Some(report))));
+                return Some(Read::Frame(frame));
             }
             Frame::Tail(tail) => {
                 self.sink.observe(tail.stamp);
                 self.sink.count(tail.tokens);
-                return Some(Step::Done(self.outcome(tail)));
+                return Some(Read::Frame(frame));
             }
             Frame::KeepAlive => Ok(()),
             Frame::Head(head) => self.sink.head(head).await,
             Frame::Data(data) => {
                 self.offset += data.len() as u64;
-                self.sink.data(self.peer.clock.now(), data).await
+                self.sink.data(self.clock.now(), data).await
             }
         };
         match passed {
             Ok(()) => None,
-            Err(HungUp) => Some(Step::HungUp),
+            Err(HungUp) => Some(Read::HungUp),
         }
     }
-
-    fn outcome(&self, tail: Tail) -> Outcome {
-        match tail.end {
-            End::Answered => Outcome::Answered,
-            End::Cancelled if tail.preempted => Outcome::Preempted {
-                // The tail counts the tokens of the whole request, the router those of an attempt.
-                received: tail.tokens.saturating_sub(self.offer.offset),
-            },
-            End::Cancelled | End::Failed | End::Crashed => Outcome::Failed,
-        }
-    }
-
-    async fn abandon(&self) -> Outcome {
-        if let Err(error) = self.peer.link.cancel(self.offer.attempt).await {
-            tracing::debug!(attempt = %self.offer.attempt, %error, "entry: cancel was not answered");
-        }
-        Outcome::Failed
-    }
 }
 
 async fn refused(body: Incoming, sink: &mut Sink) -> Step {
--- a/crates/ebonylug-entry/src/caller.rs
+++ b/crates/ebonylug-entry/src/caller.rs
@@ -6,6 +6,7 @@
 use tokio::sync::mpsc;
 
 use ebonylug_core::{Fingerprint, Name, Reason, Refusal, Repeat, RequestId, Tokens};
+use ebonylug_idempotency::CallKey;
 use ebonylug_net::frame::Head;
 use ebonylug_net::serve::{self, Answer, BodyError, Request};
 use ebonylug_net::stop::Work;
@@ -16,6 +17,7 @@
 use crate::Shared;
 use crate::attempt::Call;
 use crate::dispatcher::{Dispatcher, Job};
+use crate::once::{self, Once};
 use crate::prompt::{Prefix, Prompt};
 use crate::reply::{self, Fate};
 use crate::sink::{Part, Sink};
@@ -47,10 +49,6 @@
     max_output: Tokens,
     prefix: Prefix,
     call: Call,
-    #[expect(
-        dead_code,
-        reason = "the record of calls that may not be repeated is not connected yet"
-    )]
     key: Option<Box<str>>,
 }
 
@@ -263,25 +261,66 @@
     let Some(work) = shared.stop.begin() else {
         return reply::fate(id, Fate::NotRun(Refusal::new(Reason::Leaving)));
     };
+    let queued = queued(shared, id, &resolved);
     let (sender, parts) = mpsc::channel(PARTS_AHEAD);
-    let stream = resolved.stream;
+    let waiting = match (resolved.repeat, &resolved.key) {
+        (Repeat::No, Some(key)) => {
+            let key = CallKey::new(&resolved.organisation, key);
+            submit_once(shared, queued, key, resolved.call, sender).map(|()| None)
+        }
+        _ => submit_plain(shared, queued, resolved, sender).map(Some),
+    };
+    match waiting {
+        Ok(waiting) => answer(id, parts, (waiting, work)).await,
+        Err(refusal) => reply::fate(id, Fate::NotRun(refusal)),
+    }
+}
+
+fn submit_plain(
+    shared: &Shared,
+    queued: Queued,
+    resolved: Resolved,
+    parts: mpsc::Sender<Part>,
+) -> Result<Waiting, Refusal> {
     let job = Job {
         tier: resolved.tier,
-        call: Arc::new(resolved.call.clone()),
-        sink: Sink::new(sender, stream, shared.settings.stall),
-        streamed: stream,
-    };
-    let queued = queued(shared, id, &resolved);
-    let key = match shared.dispatcher.enqueue(queued, job) {
-        Ok(key) => key,
-        Err(refusal) => return reply::fate(id, Fate::NotRun(refusal)),
+        call: Arc::new(resolved.call),
+        sink: Sink::new(parts, resolved.stream, shared.settings.stall),
+        streamed: resolved.stream,
     };
-    let waiting = Waiting {
+    let key = shared.dispatcher.enqueue(queued, job)?;
+    Ok(Waiting {
         dispatcher: Arc::clone(&shared.dispatcher),
         key,
-        _work: work,
+    })
+}
+
+/// Starts a call that may not be repeated. Its task goes on when the caller hangs up, and counts as
+/// work in flight of its own.
+fn submit_once(
+    shared: &Arc<Shared>,
+    queued: Queued,
+    key: CallKey,
+    call: Call,
+    parts: mpsc::Sender<Part>,
+) -> Result<(), Refusal> {
+    let work = shared.stop.begin().ok_or(Refusal::new(Reason::Leaving))?;
+    let (id, deadline) = (queued.id, queued.deadline);
+    let turns = shared.dispatcher.enqueue_once(queued)?;
+    let once = Once {
+        id,
+        key,
+        call: Arc::new(call),
+        deadline,
+        turns,
+        parts,
     };
-    answer(id, parts, waiting).await
+    let shared = Arc::clone(shared);
+    shared.tasks.clone().spawn(async move {
+        once::run(shared, once).await;
+        drop(work);
+    });
+    Ok(())
 }
 
 fn queued(shared: &Shared, id: RequestId, resolved: &Resolved) -> Queued {
@@ -318,7 +357,6 @@
 struct Waiting {
     dispatcher: Arc<Dispatcher>,
     key: RequestKey,
-    _work: Work,
 }
 
 impl Drop for Waiting {
@@ -327,11 +365,19 @@
     }
 }
 
-async fn answer(id: RequestId, mut parts: mpsc::Receiver<Part>, waiting: Waiting) -> Answer {
+async fn answer(
+    id: RequestId,
+    mut parts: mpsc::Receiver<Part>,
+    waiting: (Option<Waiting>, Work),
+) -> Answer {
     let head = match parts.recv().await {
         Some(Part::Head(head)) => head,
         Some(Part::Refused(refusal)) => return reply::fate(id, Fate::NotRun(refusal)),
         Some(Part::Failed) => return reply::fate(id, Fate::Failed),
+        Some(Part::Mismatch) => {
+            let message = "the Idempotency-Key was used with another request; this one was not run";
+            return reply::rejected(StatusCode::UNPROCESSABLE_ENTITY, message);
+        }
         // An end without a head is not an answer.
         Some(Part::Unknown | Part::Data(_) | Part::End) | None => {
             return reply::fate(id, Fate::Unknown);
@@ -369,7 +415,7 @@
     /// Whether the answer is a stream of events.
     events: bool,
     ended: bool,
-    _waiting: Waiting,
+    _waiting: (Option<Waiting>, Work),
 }
 
 impl Body {
@@ -381,7 +427,9 @@
             Some(Part::Data(data)) => return Some(Ok(data)),
             Some(Part::End) => return None,
             Some(Part::Failed) => Fate::Failed,
-            Some(Part::Refused(_) | Part::Unknown | Part::Head(_)) | None => Fate::Unknown,
+            Some(Part::Refused(_) | Part::Unknown | Part::Mismatch | Part::Head(_)) | None => {
+                Fate::Unknown
+            }
         };
         self.ended = true;
         Some(self.broken(fate))
--- a/crates/ebonylug-entry/src/dispatcher.rs
+++ b/crates/ebonylug-entry/src/dispatcher.rs
@@ -2,16 +2,20 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 
-use ebonylug_core::{Clock, LoadReport, Name, Offer, Outcome, Reason, Refusal, Tier, Tokens};
+use ebonylug_core::{
+    AttemptId, Clock, LoadReport, Name, Offer, Outcome, Reason, Refusal, Tier, Tokens,
+};
 use ebonylug_events::{EventKind, Subject};
 use ebonylug_net::record::Recorder;
+use ebonylug_net::tasks::Tasks;
 use ebonylug_routing::{Action, Disposition, Request, RequestKey, Router, TargetKey};
 
 use crate::attempt::{Call, Peer};
 use crate::instruments::Instruments;
 use crate::moves::{Moves, Observation, is_base};
+use crate::once::{Placed, Turn};
 use crate::sink::{Part, Sink};
 use crate::view::Current;
 
@@ -42,13 +46,15 @@
     instruments: Arc<Instruments>,
     state: Mutex<State>,
     wake: Notify,
-    runtime: tokio::runtime::Handle,
+    tasks: Tasks,
 }
 
 struct State {
     router: Router,
     /// Jobs that wait. The job of a live attempt is with its task.
     jobs: HashMap<RequestKey, Job>,
+    /// Calls that may not be repeated; their tasks are told what the router decides.
+    once: HashMap<RequestKey, mpsc::Sender<Turn>>,
     peers: HashMap<TargetKey, Arc<Peer>>,
 }
 
@@ -72,6 +78,7 @@
         moves: Arc<Moves>,
         recorder: Arc<Recorder>,
         instruments: Arc<Instruments>,
+        tasks: Tasks,
     ) -> Self {
         Dispatcher {
             clock,
@@ -82,10 +89,11 @@
             state: Mutex::new(State {
                 router,
                 jobs: HashMap::new(),
+                once: HashMap::new(),
                 peers: HashMap::new(),
             }),
             wake: Notify::new(),
-            runtime: tokio::runtime::Handle::current(),
+            tasks,
         }
     }
 
@@ -106,6 +114,39 @@
         Ok(key)
     }
 
+    /// Queues a call that may not be repeated, and returns what the router decides about it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the queue does not take the call.
+    pub fn enqueue_once(&self, request: Request) -> Result<mpsc::Receiver<Turn>, Refusal> {
+        let now = self.clock.now();
+        let subject = Subject::new().request(request.id);
+        let (sender, turns) = mpsc::channel(1);
+        let mut state = self.lock();
+        let key = state.router.enqueue(now, request)?;
+        state.once.insert(key, sender);
+        drop(state);
+        self.recorder.record(EventKind::RequestQueued, subject);
+        self.wake.notify_one();
+        Ok(turns)
+    }
+
+    /// Reports the outcome of an attempt of a call that may not be repeated.
+    pub fn settle(&self, attempt: AttemptId, outcome: Outcome) {
+        let now = self.clock.now();
+        let subject = Subject::new().attempt(attempt);
+        self.recorder.record(outcome_event(&outcome), subject);
+        let mut state = self.lock();
+        let key = state.router.find(attempt.request);
+        let disposition = state.router.outcome(now, attempt, outcome);
+        if let (Some(key), Disposition::Ended) = (key, disposition) {
+            state.once.remove(&key);
+        }
+        drop(state);
+        self.wake.notify_one();
+    }
+
     /// Ends a request whose caller has hung up. A live attempt notices by its sink.
     pub fn cancel(&self, key: RequestKey) {
         let mut state = self.lock();
@@ -191,6 +232,18 @@
         offer: Offer,
     ) {
         let attempt = state.attempt(key, target, &offer);
+        if let Some(attempt) = attempt.as_ref()
+            && let Some(turns) = state.once.get(&key)
+        {
+            let subject = Subject::new()
+                .attempt(offer.attempt)
+                .target(attempt.target.clone());
+            self.recorder.record(EventKind::Dispatched, subject);
+            let turn = Turn::Place(Box::new(attempt.placed()));
+            if turns.try_send(turn).is_ok() {
+                return;
+            }
+        }
         let job = state.jobs.remove(&key);
         let (Some(attempt), Some(job)) = (attempt, job) else {
             // The target left or the caller hung up in this instant: nothing was sent.
@@ -199,7 +252,7 @@
             return;
         };
         let dispatcher = Arc::clone(self);
-        self.runtime.spawn(async move {
+        self.tasks.spawn(async move {
             dispatcher.attempt(attempt, job).await;
         });
     }
@@ -275,12 +328,16 @@
     }
 
     fn end(&self, state: &mut State, key: RequestKey, part: Part) {
+        if let (Some(turns), Part::Refused(refusal)) = (state.once.remove(&key), &part) {
+            // The task has taken the turn before, so there is room for this one.
+            let _ = turns.try_send(Turn::Refused(*refusal));
+            return;
+        }
         let Some(mut job) = state.jobs.remove(&key) else {
             return;
         };
         self.instruments.ended(job.tier, &part);
-        self.runtime
-            .spawn(async move { job.sink.finish(part).await });
+        self.tasks.spawn(async move { job.sink.finish(part).await });
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -288,6 +345,17 @@
     }
 }
 
+impl Attempt {
+    fn placed(&self) -> Placed {
+        Placed {
+            attempt: self.offer.attempt,
+            offer: self.offer.clone(),
+            peer: Arc::clone(&self.peer),
+            target: self.target.clone(),
+        }
+    }
+}
+
 impl State {
     /// Notes the length of an answer, by which the work of later requests is estimated.
     fn learn(&mut self, key: RequestKey, output: u64) {
--- a/crates/ebonylug-entry/src/fleet.rs
+++ b/crates/ebonylug-entry/src/fleet.rs
@@ -12,6 +12,7 @@
 use ebonylug_net::client::Client;
 use ebonylug_net::key::SharedKey;
 use ebonylug_net::rpc::{Instructions, Report, Seen};
+use ebonylug_net::tasks::Tasks;
 use ebonylug_platform::InstanceRow;
 use ebonylug_resource::{
     AvailabilityZoneSpec, Document, OrganisationSpec, RouteSpec, Target, TargetKind, TargetSpec,
@@ -38,7 +39,7 @@
     current: Arc<Current>,
     dispatcher: Arc<Dispatcher>,
     client: Client,
-    runtime: tokio::runtime::Handle,
+    tasks: Tasks,
     state: Mutex<State>,
 }
 
@@ -113,6 +114,7 @@
         clock: Arc<dyn Clock>,
         current: Arc<Current>,
         dispatcher: Arc<Dispatcher>,
+        tasks: Tasks,
     ) -> Arc<Self> {
         Arc::new(Fleet {
             settings,
@@ -120,7 +122,7 @@
             current,
             dispatcher,
             client: Client::new(),
-            runtime: tokio::runtime::Handle::current(),
+            tasks,
             state: Mutex::new(State {
                 membership: Membership::new(ebonylug_membership::Settings::default()),
                 zones: ZoneMap::new(ebonylug_zones::Settings::default()),
@@ -191,6 +193,24 @@
         });
     }
 
+    /// Returns the sidecar of a target, in the subset or not.
+    pub fn peer(&self, target: &Name) -> Option<Arc<Peer>> {
+        let state = self.lock();
+        let row = state
+            .rows
+            .iter()
+            .find(|row| row.target.as_ref() == Some(target))?;
+        let (data, control) = (row.data.parse().ok()?, row.control.parse().ok()?);
+        let (client, clock) = (self.client.clone(), Arc::clone(&self.clock));
+        Some(Arc::new(Peer::new(
+            data,
+            control,
+            &self.settings.key,
+            client,
+            clock,
+        )))
+    }
+
     /// Reports whether a target of the subset has reported.
     pub fn is_heard(&self) -> bool {
         let state = self.lock();
@@ -360,7 +380,7 @@
             instance: row.instance.clone(),
             data: row.data.clone(),
             report: None,
-            watcher: self.runtime.spawn(watch).abort_handle(),
+            watcher: self.tasks.spawn(watch),
         };
         state.targets.insert(target.name().clone(), known);
     }
--- a/crates/ebonylug-entry/src/instruments.rs
+++ b/crates/ebonylug-entry/src/instruments.rs
@@ -56,6 +56,7 @@
             Part::Refused(refusal) => ("not-run", refusal.reason.as_str()),
             Part::Failed => ("failed", ""),
             Part::Unknown => ("unknown", ""),
+            Part::Mismatch => ("not-run", "mismatch"),
         };
         let labels = [
             KeyValue::new("tier", label(tier)),
--- a/crates/ebonylug-entry/src/lib.rs
+++ b/crates/ebonylug-entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod instruments;
 mod leadership;
 mod moves;
+mod once;
 mod operator;
 mod peers;
 mod prompt;
@@ -45,6 +46,7 @@
 use ebonylug_net::record::Recorder;
 use ebonylug_net::serve::Server;
 use ebonylug_net::stop::{Phase, Stop};
+use ebonylug_net::tasks::Tasks;
 use ebonylug_platform::{HttpPlatform, InstanceList, InstanceRow, InstanceState};
 use ebonylug_routing::Router;
 
@@ -89,6 +91,7 @@
 struct Shared {
     settings: Arc<Settings>,
     clock: Arc<dyn Clock>,
+    tasks: Tasks,
     current: Arc<Current>,
     dispatcher: Arc<Dispatcher>,
     fleet: Arc<Fleet>,
@@ -115,7 +118,6 @@
     shared: Arc<Shared>,
     server: Server,
     control: SocketAddr,
-    tasks: tokio::task::JoinSet<()>,
 }
 
 impl Entry {
@@ -136,6 +138,7 @@
             zone: settings.zone.clone(),
             incarnation,
         };
+        let tasks = Tasks::new();
         let instruments = Arc::new(Instruments::new());
         let recorder = Arc::new(Recorder::new(origin, Arc::clone(&clock)));
         let moves = Arc::new(Moves::new(Arc::clone(&clock), incarnation));
@@ -146,6 +149,7 @@
             Arc::clone(&moves),
             Arc::clone(&recorder),
             Arc::clone(&instruments),
+            tasks.clone(),
         ));
         let fleet_settings = fleet::Settings {
             entry: settings.instance.clone(),
@@ -157,6 +161,7 @@
             Arc::clone(&clock),
             Arc::clone(&current),
             Arc::clone(&dispatcher),
+            tasks.clone(),
         );
         let platform = HttpPlatform::new(settings.platform).timeout(PLATFORM_TIMEOUT);
         let configuration = Arc::new(Configuration::new(
@@ -168,6 +173,7 @@
         let shared = Arc::new(Shared {
             settings: Arc::clone(&settings),
             clock,
+            tasks: tasks.clone(),
             current,
             dispatcher: Arc::clone(&dispatcher),
             fleet: Arc::clone(&fleet),
@@ -192,7 +198,6 @@
         })
         .map_err(|source| listen_error(settings.listen, source))?;
 
-        let mut tasks = tokio::task::JoinSet::new();
         tasks.spawn(dispatcher.run());
         tasks.spawn(follow_list(Arc::clone(&shared)));
         tasks.spawn(follow_configuration(Arc::clone(&shared)));
@@ -218,7 +223,6 @@
             shared,
             server,
             control: control_address,
-            tasks,
         })
     }
 
@@ -251,17 +255,22 @@
 
     /// Stops as planned: refuses new work as not run, finishes what it has, and returns the number
     /// of requests that remained at the bound.
-    pub async fn stop(mut self) -> usize {
+    pub async fn stop(self) -> usize {
         self.shared.stop.drain();
         tracing::info!(active = self.shared.stop.active(), "entry: leaving");
         let settings = &self.shared.settings;
         let remaining = self.shared.stop.finish(settings.lag, settings.bound).await;
-        self.tasks.abort_all();
         tracing::info!(remaining, "entry: stopped");
         remaining
     }
 }
 
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.shared.tasks.end();
+    }
+}
+
 fn bind(address: SocketAddr) -> Result<TcpListener> {
     let bind = || {
         let listener = TcpListener::bind(address)?;
--- a/crates/ebonylug-entry/src/sink.rs
+++ b/crates/ebonylug-entry/src/sink.rs
@@ -26,6 +26,8 @@
     Failed,
     /// It is not known whether the request was run.
     Unknown,
+    /// The idempotency key was used with other content; this content was not run.
+    Mismatch,
 }
 
 /// The caller has hung up.
@@ -45,6 +47,7 @@
     held: Option<Held>,
     head_sent: bool,
     hung_up: bool,
+    collecting: bool,
     progress: Progress,
 }
 
@@ -77,10 +80,27 @@
             held: (!streamed).then(Held::default),
             head_sent: false,
             hung_up: false,
+            collecting: false,
             progress: Progress::default(),
         }
     }
 
+    /// Creates a sink that holds a whole plain answer back for [`into_held`](Self::into_held).
+    pub fn collecting() -> Self {
+        // Nothing is sent while the answer is held back, so nobody needs to receive.
+        let (parts, _) = mpsc::channel(1);
+        Sink {
+            collecting: true,
+            ..Sink::new(parts, false, Duration::ZERO)
+        }
+    }
+
+    /// Returns the head and body of an answer that is held back.
+    pub fn into_held(self) -> Option<(Head, Bytes)> {
+        let held = self.held?;
+        Some((held.head?, held.body.freeze()))
+    }
+
     /// Starts the clock of an attempt.
     pub fn begin(&mut self, now: Instant) {
         self.progress = Progress {
@@ -165,10 +185,11 @@
             return self.send(Part::Data(data)).await;
         };
         held.body.extend_from_slice(&data);
-        if held.body.len() > MAX_HELD_BYTES {
-            self.release().await?;
+        match held.body.len() > MAX_HELD_BYTES {
+            true if self.collecting => Err(HungUp),
+            true => self.release().await,
+            false => Ok(()),
         }
-        Ok(())
     }
 
     /// Drops what was held back of an attempt that was stopped.
@@ -195,7 +216,7 @@
 
     /// Reports whether the caller has hung up.
     pub fn is_closed(&self) -> bool {
-        self.hung_up || self.parts.is_closed()
+        self.hung_up || (!self.collecting && self.parts.is_closed())
     }
 
     async fn release(&mut self) -> Result<(), HungUp> {
--- a/crates/ebonylug-idempotency/src/drive.rs
+++ b/crates/ebonylug-idempotency/src/drive.rs
@@ -39,7 +39,7 @@
     first: Actions,
     table: &impl Table,
     transport: &impl Transport,
-    clock: &impl Clock,
+    clock: &(impl Clock + ?Sized),
     answer: impl FnOnce(Verdict) + Send,
 ) {
     let mut answer = Some(answer);
--- a/crates/ebonylug-net/src/lib.rs
+++ b/crates/ebonylug-net/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`frame`]: the framing of answers between sidecar and entry.
 //! - [`rpc`]: control messages, after a handshake with the shared key.
 //! - [`record`]: the events of the time line.
+//! - [`tasks`]: tasks that end with their process.
 //! - [`stop`]: the order of steps of a planned stop.
 //!
 //! # Why answers are framed
@@ -31,4 +32,5 @@
 pub mod serve;
 pub mod settings;
 pub mod stop;
+pub mod tasks;
 pub mod wire;
--- a/crates/ebonylug-net/src/wire.rs
+++ b/crates/ebonylug-net/src/wire.rs
@@ -8,6 +8,8 @@
 
 /// The offer of an attempt, as JSON.
 pub const OFFER: HeaderName = HeaderName::from_static("ebonylug-offer");
+/// The sidecar incarnation that an attempt was addressed to.
+pub const INCARNATION: HeaderName = HeaderName::from_static("ebonylug-incarnation");
 /// The logical time of a dispatch.
 pub const STAMP: HeaderName = HeaderName::from_static("ebonylug-stamp");
 /// The method of the call to the target.
--- a/crates/ebonylug-sidecar/src/core.rs
+++ b/crates/ebonylug-sidecar/src/core.rs
@@ -133,6 +133,11 @@
         self.lock().attempts.get(&attempt).cloned()
     }
 
+    /// Reports whether an attempt runs or has run, as far as is remembered.
+    pub fn has_run(&self, attempt: AttemptId) -> bool {
+        self.lock().admission.has_run(attempt)
+    }
+
     /// Records new output tokens of an attempt.
     pub fn progress(&self, attempt: AttemptId, tokens: u64) {
         if tokens > 0 {
--- a/crates/ebonylug-sidecar/src/http.rs
+++ b/crates/ebonylug-sidecar/src/http.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
+
 use http::{HeaderMap, Method, StatusCode, Uri};
 
 use ebonylug_core::{AttemptId, Offer, Reason, Refusal};
@@ -34,7 +36,7 @@
         }
         (&Method::POST, "/dispatch") => dispatch(shared, request).await,
         (&Method::GET, path) => match path.strip_prefix("/attempts/") {
-            Some(id) => resume(&shared, id, request.uri()),
+            Some(id) => resume(&shared, id, &request),
             None => problem(StatusCode::NOT_FOUND, "no such path"),
         },
         _ => problem(StatusCode::NOT_FOUND, "no such path"),
@@ -84,16 +86,16 @@
             StatusCode::GONE,
             "the attempt has run and its answer is no longer retained",
         ),
-        Verdict::Join(attempt) => stream(attempt.answer, 0),
+        Verdict::Join(attempt) => stream(&shared, attempt.answer, 0),
         Verdict::Run(attempt) => {
             let answer = Arc::clone(&attempt.answer);
             let runner = Arc::clone(&shared);
             // The attempt runs on, whatever becomes of the entry's connection.
-            shared.runtime.spawn(async move {
+            shared.tasks.spawn(async move {
                 runner.run(call, attempt).await;
                 drop(work);
             });
-            stream(answer, 0)
+            stream(&shared, answer, 0)
         }
     }
 }
@@ -127,23 +129,37 @@
         .collect()
 }
 
-fn resume(shared: &Shared, id: &str, uri: &Uri) -> Reply {
+fn resume(shared: &Shared, id: &str, request: &Request) -> Reply {
     let Ok(id) = id.parse::<AttemptId>() else {
         return problem(StatusCode::BAD_REQUEST, "not an attempt id");
     };
-    let offset = uri.query().and_then(|query| query.strip_prefix("offset="));
+    let addressed = wire::read_text(request.headers(), &wire::INCARNATION).ok();
+    let own = shared.core.report().incarnation.to_string();
+    if addressed.is_some_and(|addressed| addressed != own) {
+        return problem(
+            StatusCode::GONE,
+            "the attempt was addressed to an earlier incarnation",
+        );
+    }
+    let offset = request
+        .uri()
+        .query()
+        .and_then(|query| query.strip_prefix("offset="));
     let Ok(offset) = offset.unwrap_or("0").parse() else {
         return problem(StatusCode::BAD_REQUEST, "not an offset");
     };
     match shared.core.attempt(id) {
-        Some(Attempt { answer, .. }) => stream(answer, offset),
-        None => problem(StatusCode::NOT_FOUND, "no such attempt"),
+        Some(Attempt { answer, .. }) => stream(shared, answer, offset),
+        None if shared.core.has_run(id) => {
+            problem(StatusCode::GONE, "the answer is no longer retained")
+        }
+        None => problem(StatusCode::NOT_FOUND, "the attempt was not run"),
     }
 }
 
-fn stream(answer: Arc<Answer>, offset: u64) -> Reply {
+fn stream(shared: &Shared, answer: Arc<Answer>, offset: u64) -> Reply {
     match answer.frames(offset) {
-        Ok(frames) => serve::streaming(frames),
+        Ok(frames) => serve::streaming(frames.take_until(shared.tasks.ended())),
         Err(gone) => problem(StatusCode::GONE, &gone.to_string()),
     }
 }
--- a/crates/ebonylug-sidecar/src/lib.rs
+++ b/crates/ebonylug-sidecar/src/lib.rs
@@ -31,6 +31,7 @@
 use ebonylug_net::client::Client;
 use ebonylug_net::serve::Server;
 use ebonylug_net::stop::Stop;
+use ebonylug_net::tasks::Tasks;
 use ebonylug_net::wire::Refused;
 
 pub use settings::{Invalid, Kind, Settings};
@@ -74,7 +75,7 @@
     caller: Caller,
     stop: Stop,
     instruments: Instruments,
-    runtime: tokio::runtime::Handle,
+    tasks: Tasks,
 }
 
 impl Shared {
@@ -107,7 +108,6 @@
     shared: Arc<Shared>,
     server: Server,
     control: SocketAddr,
-    tasks: tokio::task::JoinSet<()>,
 }
 
 impl Sidecar {
@@ -132,7 +132,7 @@
             core: Arc::clone(&core),
             stop: Stop::new(),
             instruments: Instruments::new(),
-            runtime: tokio::runtime::Handle::current(),
+            tasks: Tasks::new(),
             settings: Arc::clone(&settings),
         });
 
@@ -145,7 +145,7 @@
         })
         .map_err(|source| listen_error(settings.data, source))?;
 
-        let mut tasks = tokio::task::JoinSet::new();
+        let tasks = &shared.tasks;
         let listener = tokio::net::TcpListener::from_std(control)
             .map_err(|source| listen_error(settings.control, source))?;
         let served = Arc::clone(&core);
@@ -168,7 +168,6 @@
             shared,
             server,
             control: control_address,
-            tasks,
         })
     }
 
@@ -186,14 +185,13 @@
 
     /// Stops as planned: refuses new work, finishes what runs, and returns the number of attempts
     /// that remained at the bound.
-    pub async fn stop(mut self) -> usize {
+    pub async fn stop(self) -> usize {
         self.shared.stop.drain();
         self.shared.core.leave();
         tracing::info!(active = self.shared.stop.active(), "sidecar: leaving");
         let settings = &self.shared.settings;
         let remaining = self.shared.stop.finish(settings.lag, settings.bound).await;
         self.read_out().await;
-        self.tasks.abort_all();
         tracing::info!(remaining, "sidecar: stopped");
         remaining
     }
@@ -210,6 +208,12 @@
     }
 }
 
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        self.shared.tasks.end();
+    }
+}
+
 fn admission(settings: &Settings, incarnation: Incarnation) -> ebonylug_admission::Settings {
     let ceiling = settings.ceiling;
     match settings.kind {
