--- a/crates/ebonylug-config/src/snapshot.rs
+++ b/crates/ebonylug-config/src/snapshot.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -13,7 +13,7 @@
 pub struct Snapshot {
     head: Head,
     document: Arc<Document>,
-    bodies: HashMap<ObjectHash, Bytes>,
+    bodies: BTreeMap<ObjectHash, Bytes>,
 }
 
 impl Snapshot {
@@ -21,7 +21,7 @@
     #[must_use]
     pub fn new(document: Document, token: &str) -> Self {
         let (manifest, sections) = document.split();
-        let mut bodies: HashMap<_, _> = sections.into_iter().map(|s| (s.hash, s.body)).collect();
+        let mut bodies: BTreeMap<_, _> = sections.into_iter().map(|s| (s.hash, s.body)).collect();
         let head = Head {
             revision: manifest.revision,
             hash: manifest.hash(),
@@ -39,7 +39,7 @@
     pub(crate) fn assemble(
         head: Head,
         manifest: &Manifest,
-        bodies: HashMap<ObjectHash, Bytes>,
+        bodies: BTreeMap<ObjectHash, Bytes>,
     ) -> ebonylug_resource::Result<Self> {
         let document = Document::assemble(manifest, |hash| bodies.get(hash).cloned())?;
         Ok(Snapshot {
--- a/crates/ebonylug-config/src/source.rs
+++ b/crates/ebonylug-config/src/source.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::sync::Arc;
 
@@ -90,7 +90,7 @@
         let detail = format!("the manifest of revision {} names another", head.revision);
         return Err(Problem::corrupt(&detail).into());
     }
-    let mut bodies = HashMap::from([(head.hash, bytes)]);
+    let mut bodies = BTreeMap::from([(head.hash, bytes)]);
     for section in &manifest.sections {
         let hash = section.hash;
         let bytes = match known.and_then(|known| known.body(&hash)) {
--- a/crates/ebonylug-idempotency/tests/world/mod.rs
+++ b/crates/ebonylug-idempotency/tests/world/mod.rs
@@ -199,15 +199,20 @@
             attempt,
         };
         if self.world.fails() {
-            // Lost, or on its way for longer than the entry waits.
-            if self.world.draw(2) == 0 {
-                let (world, place) = (self.world.clone(), place.clone());
-                tokio::spawn(async move {
-                    world.pause(3_000).await;
-                    let _ = world.arrive(run, &place);
-                });
+            match self.world.draw(3) {
+                // The entry is paused between the reservation and the sending.
+                0 => self.world.pause(3_000).await,
+                1 => return Sent::Unknown,
+                // The call is on its way for longer than the entry waits.
+                _ => {
+                    let (world, place) = (self.world.clone(), place.clone());
+                    tokio::spawn(async move {
+                        world.pause(3_000).await;
+                        let _ = world.arrive(run, &place);
+                    });
+                    return Sent::Unknown;
+                }
             }
-            return Sent::Unknown;
         }
         if let Err(reason) = self.world.arrive(run, place) {
             return Sent::Refused(reason);
--- a/crates/ebonylug-lease/tests/lease.rs
+++ b/crates/ebonylug-lease/tests/lease.rs
@@ -88,6 +88,14 @@
     Process { clock, candidate }
 }
 
+/// Guards against a step that cannot run on a multi-threaded runtime.
+#[test]
+fn steps_can_move_between_threads() {
+    fn assert_send(_: impl Send) {}
+    let clock = Arc::new(ManualClock::new());
+    assert_send(process(&MemoryPlatform::new(), 1, &clock).candidate.step());
+}
+
 impl Process {
     /// Steps every 100 ms until the lease is taken.
     async fn take(&mut self, limit: Duration) -> Option<ebonylug_lease::Lease> {
