State times in the records of keyed calls

Cause: a record did not say when its key was first used and last written, which operators and a later retention rule need.

Change: Record has created and changed; KeyedCall::start takes a KeyedRequest and the wall-clock time. Decisions still use the monotonic clock only.

Conclusion: retention itself remains open; rows are not removed yet.

--- a/crates/ebonylug-idempotency/src/call.rs
+++ b/crates/ebonylug-idempotency/src/call.rs
@@ -1,4 +1,4 @@
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use ebonylug_core::{AttemptId, Reason, RequestId, Revoked};
 use ebonylug_platform::{Committed, Error, Expect, Row, Transaction};
@@ -96,13 +96,25 @@
     Elapsed,
 }
 
+/// A request with an idempotency key, as it arrived at an entry.
+#[derive(Clone, Debug)]
+pub struct KeyedRequest {
+    /// Organisation and idempotency key.
+    pub key: CallKey,
+    /// What the request is.
+    pub content: RequestHash,
+    /// Unique to this request at this entry, also among repeats with the same key.
+    pub id: RequestId,
+    /// When the caller must have been answered.
+    pub deadline: Instant,
+}
+
 /// One call with an idempotency key at one entry.
 #[derive(Clone, Debug)]
 pub struct KeyedCall {
-    key: CallKey,
-    content: RequestHash,
-    request: RequestId,
-    deadline: Instant,
+    request: KeyedRequest,
+    /// The same moment on both clocks, to state times in the record.
+    began: (Instant, SystemTime),
     /// Number of the latest write, for tokens.
     writes: u32,
     /// The record as this entry knows it, with the version of its row.
@@ -137,21 +149,17 @@
 }
 
 impl KeyedCall {
-    /// Starts a call for which the entry has chosen a place. `request` must be unique to this
-    /// call at this entry.
+    /// Starts a call for which the entry has chosen a place. `wall` is stated in the record.
     #[must_use]
     pub fn start(
-        key: CallKey,
-        content: RequestHash,
-        request: RequestId,
+        request: KeyedRequest,
         place: Place,
-        deadline: Instant,
+        now: Instant,
+        wall: SystemTime,
     ) -> (Self, Actions) {
         let mut call = KeyedCall {
-            key,
-            content,
             request,
-            deadline,
+            began: (now, wall),
             writes: 0,
             known: None,
             pending: None,
@@ -159,14 +167,14 @@
             graced: false,
             finished: false,
         };
-        let actions = call.reserve(place);
+        let actions = call.reserve(now, place);
         (call, actions)
     }
 
     /// Returns the key.
     #[must_use]
     pub fn key(&self) -> &CallKey {
-        &self.key
+        &self.request.key
     }
 
     /// Takes an event and returns what to do next. Without actions, the call has ended.
@@ -174,55 +182,63 @@
         match event {
             Event::Written(Ok(committed)) => self.won(committed.version),
             Event::Written(Err(error)) => self.write_failed(now, &error),
-            Event::Read(Ok(row)) => self.read(row.as_ref()),
+            Event::Read(Ok(row)) => self.read(now, row.as_ref()),
             Event::Read(Err(_)) => self.read_failed(now),
-            Event::Chosen(Ok(place)) => self.reserve(place),
-            Event::Chosen(Err(reason)) => self.give_up(reason),
-            Event::Sent(sent) => self.sent(sent),
+            Event::Chosen(Ok(place)) => self.reserve(now, place),
+            Event::Chosen(Err(reason)) => self.give_up(now, reason),
+            Event::Sent(sent) => self.sent(now, sent),
             Event::Joined(joined) => self.joined(now, joined),
             Event::Revoked(revoked) => self.revoked(now, revoked),
             Event::Elapsed => self.resume.take().into_iter().collect(),
         }
     }
 
-    fn reserve(&mut self, place: Place) -> Actions {
+    fn reserve(&mut self, now: Instant, place: Place) -> Actions {
         let attempt = match &self.known {
             Some((_, record)) => AttemptId {
                 request: record.attempt.request,
                 number: record.attempt.number + 1,
             },
             None => AttemptId {
-                request: self.request,
+                request: self.request.id,
                 number: 0,
             },
         };
-        self.write(attempt, place, State::Reserved, Purpose::Reserve)
+        self.write(now, attempt, place, State::Reserved, Purpose::Reserve)
     }
 
     /// Changes the state of the known record.
-    fn record(&mut self, state: State, purpose: Purpose) -> Actions {
+    fn record(&mut self, now: Instant, state: State, purpose: Purpose) -> Actions {
         let (_, record) = self.known.as_ref().expect("an attempt has a record");
         let (attempt, place) = (record.attempt, record.place.clone());
-        self.write(attempt, place, state, purpose)
+        self.write(now, attempt, place, state, purpose)
     }
 
     fn write(
         &mut self,
+        now: Instant,
         attempt: AttemptId,
         place: Place,
         state: State,
         purpose: Purpose,
     ) -> Actions {
-        let token = format!("{}-{}", self.request, self.writes);
+        let token = format!("{}-{}", self.request.id, self.writes);
         self.writes += 1;
         let version = self.known.as_ref().map(|(version, _)| *version);
+        let changed = self.wall_millis(now);
+        let created = self
+            .known
+            .as_ref()
+            .map_or(changed, |(_, record)| record.created);
         self.pending = Some(Pending {
             record: Record {
-                content: self.content,
+                content: self.request.content,
                 attempt,
                 place,
                 state,
                 token: token.into(),
+                created,
+                changed,
             },
             expect: version.map_or(Expect::Absent, Expect::Version),
             purpose,
@@ -234,7 +250,7 @@
 
     fn transaction(&self) -> Action {
         let pending = self.pending.as_ref().expect("a write is pending");
-        let key = self.key.as_str();
+        let key = self.request.key.as_str();
         let transaction = Transaction::new().expect(key, pending.expect);
         Action::Write(transaction.put(key, &pending.record.to_text()))
     }
@@ -264,7 +280,7 @@
         let (unsure, tries) = (pending.unsure, pending.tries);
         let again = self.transaction();
         match &self.pending.as_ref().expect("a write is pending").purpose {
-            Purpose::Reserve if now + RETRY < self.deadline => self.wait(RETRY, again),
+            Purpose::Reserve if now + RETRY < self.request.deadline => self.wait(RETRY, again),
             // A reservation that may be in the table can be taken over by another entry.
             Purpose::Reserve if unsure => self.finish(Verdict::Unknown),
             Purpose::Reserve => self.finish(Verdict::NotRun(Reason::Store)),
@@ -286,11 +302,14 @@
         actions
     }
 
-    fn read(&mut self, row: Option<&Row>) -> Actions {
+    fn read(&mut self, now: Instant, row: Option<&Row>) -> Actions {
         let parse = |row: &Row| Some((row.version, serde_json::from_str(&row.value).ok()?));
         let present: Option<(u64, Record)> = row.and_then(parse);
         if row.is_some() && present.is_none() {
-            tracing::error!("idempotency: row {} is not valid", self.key.as_str());
+            tracing::error!(
+                "idempotency: row {} is not valid",
+                self.request.key.as_str()
+            );
             return self.finish(Verdict::Unknown);
         }
         let pending = self.pending.take();
@@ -312,21 +331,21 @@
         }
         self.known = present;
         match pending {
-            Some(pending) if pending.purpose == Purpose::Complete => self.complete(pending),
+            Some(pending) if pending.purpose == Purpose::Complete => self.complete(now, pending),
             _ => self.follow(),
         }
     }
 
     /// Another entry has changed the row before the outcome was recorded. A whole answer is
     /// better than what the other entry knew, if it is about the same attempt.
-    fn complete(&mut self, lost: Pending) -> Actions {
+    fn complete(&mut self, now: Instant, lost: Pending) -> Actions {
         let answered = matches!(lost.record.state, State::Done(_));
         let record = self.known.as_ref().map(|(_, record)| record);
         let worse = record.is_some_and(|record| {
             record.attempt == lost.record.attempt && !matches!(record.state, State::Done(_))
         });
         if answered && worse && lost.tries < RECORD_TRIES {
-            let actions = self.record(lost.record.state, Purpose::Complete);
+            let actions = self.record(now, lost.record.state, Purpose::Complete);
             let pending = self.pending.as_mut().expect("a write is pending");
             pending.tries = lost.tries;
             return actions;
@@ -339,7 +358,7 @@
         let Some((_, record)) = &self.known else {
             return smallvec![Action::Choose];
         };
-        if record.content != self.content {
+        if record.content != self.request.content {
             return self.finish(Verdict::Mismatch);
         }
         let attempt = (record.attempt, record.place.clone());
@@ -356,35 +375,35 @@
 
     /// The row exists or a reply was lost, so that the call cannot be said not to have run.
     fn read_failed(&mut self, now: Instant) -> Actions {
-        if !self.finished && now + RETRY < self.deadline {
+        if !self.finished && now + RETRY < self.request.deadline {
             return self.wait(RETRY, Action::Read);
         }
         self.finish(Verdict::Unknown)
     }
 
     /// No target takes another attempt.
-    fn give_up(&mut self, reason: Reason) -> Actions {
+    fn give_up(&mut self, now: Instant, reason: Reason) -> Actions {
         let verdict = Verdict::NotRun(reason);
         match &self.known {
             Some((_, record)) if record.state == State::Reserved => {
-                self.record(State::NotRun, Purpose::Settle(verdict))
+                self.record(now, State::NotRun, Purpose::Settle(verdict))
             }
             _ => self.finish(verdict),
         }
     }
 
-    fn sent(&mut self, sent: Sent) -> Actions {
+    fn sent(&mut self, now: Instant, sent: Sent) -> Actions {
         match sent {
-            Sent::Answered(answer) => self.answered(answer),
+            Sent::Answered(answer) => self.answered(now, answer),
             Sent::Refused(_) => smallvec![Action::Choose],
-            Sent::Unknown => self.record(State::Unknown, Purpose::Settle(Verdict::Unknown)),
+            Sent::Unknown => self.record(now, State::Unknown, Purpose::Settle(Verdict::Unknown)),
         }
     }
 
-    fn answered(&mut self, answer: Answer) -> Actions {
+    fn answered(&mut self, now: Instant, answer: Answer) -> Actions {
         let kept = Some(answer.clone()).filter(|answer| answer.body.len() <= MAX_BODY);
         let mut actions = self.finish(Verdict::Answer(answer));
-        actions.extend(self.record(State::Done(kept), Purpose::Complete));
+        actions.extend(self.record(now, State::Done(kept), Purpose::Complete));
         actions
     }
 
@@ -394,7 +413,7 @@
         let ran = matches!(record.state, State::Done(_));
         match joined {
             Joined::Answered(answer) if ran => self.finish(Verdict::Answer(answer)),
-            Joined::Answered(answer) => self.answered(answer),
+            Joined::Answered(answer) => self.answered(now, answer),
             // It ran, but its answer is nowhere any more.
             Joined::NotSeen | Joined::Unknown if ran => self.finish(Verdict::Unknown),
             Joined::NotSeen if self.graced => smallvec![Action::Revoke(attempt)],
@@ -403,7 +422,9 @@
                 self.wait(GRACE, Action::Join(attempt))
             }
             Joined::Unknown => smallvec![Action::Revoke(attempt)],
-            Joined::Unreachable if now + RETRY < self.deadline => self.wait(RETRY, Action::Read),
+            Joined::Unreachable if now + RETRY < self.request.deadline => {
+                self.wait(RETRY, Action::Read)
+            }
             // The first entry may still reach the target, so that nothing is recorded.
             Joined::Unreachable => self.finish(Verdict::Unknown),
         }
@@ -414,17 +435,23 @@
         let attempt = (record.attempt, record.place.clone());
         match revoked {
             Some(Revoked::NotRun) => smallvec![Action::Choose],
-            Some(Revoked::Running | Revoked::Finished) if now < self.deadline => {
+            Some(Revoked::Running | Revoked::Finished) if now < self.request.deadline => {
                 self.wait(RETRY, Action::Join(attempt))
             }
-            None if now + RETRY < self.deadline => self.wait(RETRY, Action::Read),
+            None if now + RETRY < self.request.deadline => self.wait(RETRY, Action::Read),
             Some(Revoked::Unknown) => {
-                self.record(State::Unknown, Purpose::Settle(Verdict::Unknown))
+                self.record(now, State::Unknown, Purpose::Settle(Verdict::Unknown))
             }
             Some(Revoked::Running | Revoked::Finished) | None => self.finish(Verdict::Unknown),
         }
     }
 
+    fn wall_millis(&self, now: Instant) -> u64 {
+        let (began, wall) = self.began;
+        let since = (wall + (now - began)).duration_since(SystemTime::UNIX_EPOCH);
+        u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+    }
+
     fn wait(&mut self, length: Duration, then: Action) -> Actions {
         self.resume = Some(then);
         smallvec![Action::Wait(length)]
--- a/crates/ebonylug-idempotency/src/lib.rs
+++ b/crates/ebonylug-idempotency/src/lib.rs
@@ -24,17 +24,20 @@
 //! memory of a [`home`] sidecar, which keeps their load off the table.
 //!
 //! ```
-//! use std::time::{Duration, Instant};
+//! use std::time::{Duration, Instant, SystemTime};
 //! use ebonylug_core::{Incarnation, Name, RequestId};
-//! use ebonylug_idempotency::{Action, CallKey, Event, KeyedCall, Place, RequestHash};
+//! use ebonylug_idempotency::{Action, CallKey, Event, KeyedCall, KeyedRequest, Place, RequestHash};
 //! use ebonylug_platform::Committed;
 //!
 //! let now = Instant::now();
-//! let key = CallKey::new(&Name::new("mill"), "order-17");
-//! let content = RequestHash::of("POST", "/orders", b"{}");
+//! let request = KeyedRequest {
+//!     key: CallKey::new(&Name::new("mill"), "order-17"),
+//!     content: RequestHash::of("POST", "/orders", b"{}"),
+//!     id: RequestId(1),
+//!     deadline: now + Duration::from_secs(5),
+//! };
 //! let place = Place { target: Name::new("order-1"), incarnation: Incarnation(7) };
-//! let deadline = now + Duration::from_secs(5);
-//! let (mut call, actions) = KeyedCall::start(key, content, RequestId(1), place, deadline);
+//! let (mut call, actions) = KeyedCall::start(request, place, now, SystemTime::now());
 //!
 //! // Nothing is sent before the record is in the table.
 //! assert!(matches!(actions[..], [Action::Write(_)]));
@@ -48,7 +51,7 @@
 mod record;
 mod soft;
 
-pub use call::{Action, Actions, Event, Joined, KeyedCall, Sent, Verdict};
+pub use call::{Action, Actions, Event, Joined, KeyedCall, KeyedRequest, Sent, Verdict};
 pub use drive::{Transport, drive};
 pub use key::{CallKey, RequestHash};
 pub use record::{Answer, MAX_BODY, Place, Record, State};
--- a/crates/ebonylug-idempotency/src/record.rs
+++ b/crates/ebonylug-idempotency/src/record.rs
@@ -58,6 +58,10 @@
     pub state: State,
     /// Unique to the write, so that an entry recognises its own after a lost reply.
     pub token: Box<str>,
+    /// When the key was first used, in milliseconds since 1970 by the wall clock of an entry.
+    pub created: u64,
+    /// When the record was last written.
+    pub changed: u64,
 }
 
 impl Record {
--- a/crates/ebonylug-idempotency/tests/calls.rs
+++ b/crates/ebonylug-idempotency/tests/calls.rs
@@ -9,8 +9,8 @@
 
 use ebonylug_core::{AttemptId, Clock, Name, Reason, RequestId};
 use ebonylug_idempotency::{
-    Action, Actions, Answer, CallKey, Event, KeyedCall, MAX_BODY, Record, RequestHash, SoftKeys,
-    State, Transport, Verdict, drive, home,
+    Action, Actions, Answer, CallKey, Event, KeyedCall, KeyedRequest, MAX_BODY, Record,
+    RequestHash, SoftKeys, State, Transport, Verdict, drive, home,
 };
 use ebonylug_platform::{Fault, MemoryPlatform, Table, Transaction};
 use proptest::prelude::*;
@@ -31,10 +31,14 @@
 }
 
 fn start(caller: &Caller, request: u128) -> (KeyedCall, Actions) {
-    let key = CallKey::new(&Name::new("mill"), &caller.key);
-    let content = RequestHash::of("POST", "/orders", &[caller.content]);
+    let request = KeyedRequest {
+        key: CallKey::new(&Name::new("mill"), &caller.key),
+        content: RequestHash::of("POST", "/orders", &[caller.content]),
+        id: RequestId(request),
+        deadline: caller.deadline,
+    };
     let place = caller.world.place(caller.world.draw(2) as usize);
-    KeyedCall::start(key, content, RequestId(request), place, caller.deadline)
+    KeyedCall::start(request, place, RuntimeClock.now(), RuntimeClock.wall())
 }
 
 /// Runs a call to its end and returns what the caller was told.
@@ -146,6 +150,12 @@
     assert!(answered(&first));
     assert_eq!(first, second);
     assert_eq!(world.runs("k").len(), 1);
+    // The takeover keeps the time at which the key was first used, and states its own.
+    let record = record(&table, "k").await;
+    assert!(
+        record.created < record.changed && record.changed < 4_000,
+        "{record:?}"
+    );
 }
 
 /// Guards against a call that is sent without its record, and against a verdict that the fault
--- a/crates/ebonylug-idempotency/tests/steps.rs
+++ b/crates/ebonylug-idempotency/tests/steps.rs
@@ -1,11 +1,11 @@
 //! Tests of single decisions of a keyed call, without a table or a target.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use ebonylug_core::{AttemptId, Incarnation, Name, Reason, RequestId, Revoked};
 use ebonylug_idempotency::{
-    Action, Answer, CallKey, Event, Joined, KeyedCall, Place, Record, RequestHash, Sent, State,
-    Verdict,
+    Action, Answer, CallKey, Event, Joined, KeyedCall, KeyedRequest, Place, Record, RequestHash,
+    Sent, State, Verdict,
 };
 use ebonylug_platform::{Committed, Error, Row, Transaction};
 
@@ -35,6 +35,8 @@
         place: place(),
         state,
         token: "other".into(),
+        created: 0,
+        changed: 0,
     };
     let value = serde_json::to_string(&record).unwrap().into();
     Event::Read(Ok(Some(Row {
@@ -233,10 +235,14 @@
     for (events, late, expected) in cases {
         let now = Instant::now();
         let deadline = now + Duration::from_secs(2);
-        let key = CallKey::new(&Name::new("mill"), "k");
-        let content = RequestHash::of("POST", "/orders", b"");
-        let (mut call, mut actions) =
-            KeyedCall::start(key, content, RequestId(1), place(), deadline);
+        let request = KeyedRequest {
+            key: CallKey::new(&Name::new("mill"), "k"),
+            content: RequestHash::of("POST", "/orders", b""),
+            id: RequestId(1),
+            deadline,
+        };
+        let wall = SystemTime::UNIX_EPOCH;
+        let (mut call, mut actions) = KeyedCall::start(request, place(), now, wall);
         let count = events.len();
         let case = format!("{events:?}");
         for (index, event) in events.into_iter().enumerate() {
