routing: drop guards that nothing needs, after mutations of all guards

Cause: each guard was removed in turn. The exclusion of routes with waiting interactive work from the batch pass was covered by the check of the targets, and the spreading of debts of a version that is gone had no effect beyond one request. Both are removed. Tests did not need three more guards: factors that are not numbers, targets kept across routes, and the version of a request that ran in part. Change: tests for these three.

--- a/crates/ebonylug-routing/src/poll.rs
+++ b/crates/ebonylug-routing/src/poll.rs
@@ -55,9 +55,6 @@
 
     fn dispatch(&mut self, now: Instant, class: Class, pass: &mut Pass, actions: &mut Actions) {
         let mut turns = self.queue.turns(class);
-        if class == Class::Batch {
-            turns.retain(|(_, route)| !pass.waiting.contains(route));
-        }
         while let Some(index) = (0..turns.len()).min_by_key(|&index| turns[index].0) {
             let route = turns[index].1;
             let Some(dispatch) = self.dispatch_one(now, class, route, pass) else {
--- a/crates/ebonylug-routing/src/shares.rs
+++ b/crates/ebonylug-routing/src/shares.rs
@@ -47,10 +47,6 @@
         if same {
             return;
         }
-        // What a version that is gone was owed, or owes, is spread over the others.
-        let debt: f64 = versions.iter().map(|version| version.owed).sum();
-        let part = debt / versions.len().max(1) as f64;
-        versions.iter_mut().for_each(|version| version.owed -= part);
         let first = self.versions.is_empty();
         self.versions = versions;
         self.epoch += 1;
--- a/crates/ebonylug-routing/tests/choice.rs
+++ b/crates/ebonylug-routing/tests/choice.rs
@@ -78,6 +78,7 @@
         (700, 0, 0, [0.5, 1.0], [false, true]),
         (700, 0, 0, [1.0, 0.5], [true, false]),
         (0, 0, 0, [0.5, 0.0], [true, false]),
+        (0, 0, 0, [1.0, f64::NAN], [true, false]),
     ];
     for case @ (used, batch, reserved, [interactive, factor], expected) in cases {
         for (tier, expected) in [URGENT, NIGHTLY].into_iter().zip(expected) {
@@ -287,11 +288,13 @@
         attempts.push(fixture.dispatch().offer.attempt);
     }
     fixture.report(1, |report| report.limit = Tokens(1_000_000));
+    fixture.shares([0.5, 0.5]);
     for attempt in attempts {
         fixture.outcome(attempt, Outcome::Preempted { received: 1 });
         let target = fixture.dispatch().target;
         assert_eq!(target, fixture.targets[0]);
     }
+    fixture.shares([0.9, 0.1]);
     let mut new = 0;
     for _ in 0..20 {
         fixture.put(NIGHTLY, 100);
--- a/crates/ebonylug-routing/tests/queue.rs
+++ b/crates/ebonylug-routing/tests/queue.rs
@@ -233,15 +233,12 @@
     urgent.route = fixture.other;
     fixture.enqueue(urgent).expect("the queue has room");
     for _ in 0..4 {
-        fixture.put(NIGHTLY, 200);
+        fixture.put(NIGHTLY, 240);
     }
-    let dispatches = fixture.dispatches();
-    assert!(
-        dispatches
-            .iter()
-            .all(|dispatch| dispatch.target == fixture.targets[1])
-    );
-    assert_eq!(dispatches.len(), 4);
+    // A poll may draw only targets that are kept, so there are several.
+    let polls = (0..10).flat_map(|_| fixture.dispatches());
+    let targets: Vec<_> = polls.map(|dispatch| dispatch.target).collect();
+    assert_eq!(targets, [fixture.targets[1]; 4]);
 }
 
 /// Guards against estimates that ignore what was learned or the limit of the request, and
