Record calls that may not be repeated before they are sent

Cause: an order with the same key ran once for each entry that it was sent through, and ran while the store was down (seen in tests/path.rs and by hand). Change: such a call goes through KeyedCall: conditional insert before the first send, join by attempt and incarnation, revoke before a takeover, the answer kept in the record. A repeat of a call that has ended is answered from the record, also when no target is up: before, it was refused as not run although the first had run. An entry may name seeds that it asks for the configuration when it starts in an outage of the whole platform.

--- a/crates/ebonylug-demo/src/deployment.rs
+++ b/crates/ebonylug-demo/src/deployment.rs
@@ -143,6 +143,7 @@
             control: loopback(),
             key: SharedKey::new(KEY),
             platform: self.platform.addr,
+            seeds: self.entries.iter().map(Entry::control).collect(),
             operators: vec![Operator {
                 name: Name::new("demo"),
                 token: TokenHash::of(OPERATOR_TOKEN),
--- a/crates/ebonylug-demo/tests/failures.rs
+++ b/crates/ebonylug-demo/tests/failures.rs
@@ -348,6 +348,11 @@
         .start_entry(2, 7)
         .await
         .expect("the entry starts");
+    until(
+        "the late entry has the configuration of a peer",
+        async || deployment.entries[2].revision().0 == 1,
+    )
+    .await;
     let late = common::caller(&deployment, 2);
     let ready = late
         .send(Method::GET, "/readyz", &[], "")
@@ -356,7 +361,7 @@
     assert_eq!(
         ready.status,
         StatusCode::SERVICE_UNAVAILABLE,
-        "it has no configuration"
+        "it knows no target before the instance list answers"
     );
     // The instance list answers while the table is down.
     deployment.platform.set_faults(PlatformFaults {
--- a/crates/ebonylug-demo/tests/once.rs
+++ b/crates/ebonylug-demo/tests/once.rs
@@ -213,7 +213,11 @@
     let first = first.await.expect("the caller runs");
     assert_outcome(&first, StatusCode::BAD_GATEWAY, "unknown");
     let again = start(caller(&deployment, 1), "order-8").await;
-    assert_outcome(&again.expect("the caller runs"), StatusCode::BAD_GATEWAY, "unknown");
+    assert_outcome(
+        &again.expect("the caller runs"),
+        StatusCode::BAD_GATEWAY,
+        "unknown",
+    );
     assert!(runs(&deployment, "order-8") <= 1);
     assert_eq!(service_of(&deployment, "orders-1").runs().total, 1);
 }
--- a/crates/ebonylug-entry/src/caller.rs
+++ b/crates/ebonylug-entry/src/caller.rs
@@ -305,14 +305,10 @@
     parts: mpsc::Sender<Part>,
 ) -> Result<(), Refusal> {
     let work = shared.stop.begin().ok_or(Refusal::new(Reason::Leaving))?;
-    let (id, deadline) = (queued.id, queued.deadline);
-    let turns = shared.dispatcher.enqueue_once(queued)?;
     let once = Once {
-        id,
+        queued,
         key,
         call: Arc::new(call),
-        deadline,
-        turns,
         parts,
     };
     let shared = Arc::clone(shared);
--- a/crates/ebonylug-entry/src/http.rs
+++ b/crates/ebonylug-entry/src/http.rs
@@ -37,5 +37,8 @@
     if shared.current.revision().0 == 0 {
         return serve::text(StatusCode::SERVICE_UNAVAILABLE, "no configuration\n");
     }
+    if !shared.is_ready() {
+        return serve::text(StatusCode::SERVICE_UNAVAILABLE, "no target has reported\n");
+    }
     serve::text(StatusCode::OK, "ready\n")
 }
--- a/crates/ebonylug-entry/src/lib.rs
+++ b/crates/ebonylug-entry/src/lib.rs
@@ -253,6 +253,18 @@
         }
     }
 
+    /// Returns the configuration revision in force; 0 before the first one.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.shared.current.revision()
+    }
+
+    /// Returns the address of the control path.
+    #[must_use]
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
     /// Stops as planned: refuses new work as not run, finishes what it has, and returns the number
     /// of requests that remained at the bound.
     pub async fn stop(self) -> usize {
@@ -285,6 +297,10 @@
 }
 
 async fn follow_list(shared: Arc<Shared>) {
+    let seeds = shared.peers.seeds(&shared.settings.seeds);
+    shared
+        .configuration
+        .set_peers(&shared.settings.instance, seeds);
     loop {
         match shared.platform.instances().await {
             Ok(rows) => {
--- a/crates/ebonylug-entry/src/once.rs
+++ b/crates/ebonylug-entry/src/once.rs
@@ -1,15 +1,18 @@
 //! Calls that may not be repeated: recorded in the table before they are sent.
 
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::sync::mpsc;
 
-use ebonylug_core::{AttemptId, Name, Offer, Outcome, Reason, Refusal, RequestId, Revoked};
+use ebonylug_core::{AttemptId, Name, Offer, Outcome, Reason, Refusal, Revoked};
 use ebonylug_idempotency::{
-    Answer, CallKey, Joined, KeyedCall, Place, RequestHash, Sent, Transport, Verdict, drive,
+    Answer, CallKey, Joined, KeyedCall, KeyedRequest, Place, Record, RequestHash, Sent, State,
+    Transport, Verdict, drive,
 };
 use ebonylug_net::frame::Head;
+use ebonylug_platform::Table;
+use ebonylug_routing::Request;
 
 use crate::Shared;
 use crate::attempt::{Call, Fetched, Peer};
@@ -48,39 +51,87 @@
 
 /// A call that may not be repeated.
 pub struct Once {
-    /// The request.
-    pub id: RequestId,
+    /// What the router needs to know about it.
+    pub queued: Request,
     /// The organisation and its idempotency key.
     pub key: CallKey,
     /// The call, as it is passed to the target.
     pub call: Arc<Call>,
-    /// When the answer is of no more use.
-    pub deadline: Option<Instant>,
-    /// What the router decides.
-    pub turns: mpsc::Receiver<Turn>,
     /// Where the answer goes.
     pub parts: mpsc::Sender<Part>,
 }
 
 /// Carries out a call to its end, also when its caller hangs up: the record is completed then.
-pub async fn run(shared: Arc<Shared>, mut once: Once) {
-    let first = match once.turns.recv().await {
-        Some(Turn::Place(placed)) => *placed,
-        Some(Turn::Refused(refusal)) => {
-            return answer(&once.parts, Verdict::NotRun(refusal.reason)).await;
-        }
-        None => return answer(&once.parts, Verdict::NotRun(Reason::NoTarget)).await,
+pub async fn run(shared: Arc<Shared>, once: Once) {
+    let content = once.content();
+    // A repeat of a call that has ended needs no target.
+    if let Some(verdict) = recorded(&shared, &once.key, content).await {
+        return answer(&once.parts, verdict).await;
+    }
+    let turns = match shared.dispatcher.enqueue_once(once.queued.clone()) {
+        Ok(turns) => turns,
+        Err(refusal) => return refuse(&shared, &once, refusal).await,
+    };
+    let mut turns = turns;
+    match turns.recv().await {
+        Some(Turn::Place(first)) => carry(&shared, once, content, *first, turns).await,
+        Some(Turn::Refused(refusal)) => refuse(&shared, &once, refusal).await,
+        None => refuse(&shared, &once, Refusal::new(Reason::NoTarget)).await,
+    }
+}
+
+/// Returns what the record says of a call that has ended. Without an answer of the table, the call
+/// goes its usual way, which does not send it without a record.
+async fn recorded(shared: &Shared, key: &CallKey, content: RequestHash) -> Option<Verdict> {
+    let row = shared.platform.get(key.as_str()).await.ok()??;
+    let record: Record = serde_json::from_str(&row.value).ok()?;
+    if record.content != content {
+        return Some(Verdict::Mismatch);
+    }
+    match record.state {
+        State::Done(Some(answer)) => Some(Verdict::Answer(answer)),
+        State::Unknown => Some(Verdict::Unknown),
+        State::Reserved | State::Done(None) | State::NotRun => None,
+    }
+}
+
+/// Answers a call for which the router has no target. It was not sent, but an earlier request with
+/// the same key may have been.
+async fn refuse(shared: &Shared, once: &Once, refusal: Refusal) {
+    let verdict = match recorded(shared, &once.key, once.content()).await {
+        Some(verdict) => verdict,
+        None if is_open(shared, &once.key).await => Verdict::Unknown,
+        None => Verdict::NotRun(refusal.reason),
     };
-    let call = &once.call;
-    let content = RequestHash::of(call.method.as_str(), &call.path, &call.body);
-    let deadline = once
-        .deadline
-        .unwrap_or_else(|| shared.clock.now() + DEFAULT_DEADLINE);
-    let (keyed, actions) = KeyedCall::start(once.key, content, once.id, place(&first), deadline);
+    answer(&once.parts, verdict).await;
+}
+
+/// Reports whether an attempt of an earlier request with the same key may run or have run.
+async fn is_open(shared: &Shared, key: &CallKey) -> bool {
+    let row = shared.platform.get(key.as_str()).await.ok().flatten();
+    let record = row.and_then(|row| serde_json::from_str::<Record>(&row.value).ok());
+    record.is_some_and(|record| !matches!(record.state, State::NotRun))
+}
+
+async fn carry(
+    shared: &Arc<Shared>,
+    once: Once,
+    content: RequestHash,
+    first: Placed,
+    turns: mpsc::Receiver<Turn>,
+) {
+    let (now, wall) = (shared.clock.now(), shared.clock.wall());
+    let request = KeyedRequest {
+        key: once.key,
+        content,
+        id: once.queued.id,
+        deadline: once.queued.deadline.unwrap_or(now + DEFAULT_DEADLINE),
+    };
+    let (keyed, actions) = KeyedCall::start(request, place(&first), now, wall);
     let transport = Carrier {
-        shared: Arc::clone(&shared),
-        call: Arc::clone(call),
-        turns: tokio::sync::Mutex::new(once.turns),
+        shared: Arc::clone(shared),
+        call: once.call,
+        turns: tokio::sync::Mutex::new(turns),
         placed: Mutex::new(Some(first)),
         refused: Mutex::new(None),
     };
@@ -105,6 +156,13 @@
     tokio::join!(driven, told);
 }
 
+impl Once {
+    fn content(&self) -> RequestHash {
+        let call = &self.call;
+        RequestHash::of(call.method.as_str(), &call.path, &call.body)
+    }
+}
+
 fn place(placed: &Placed) -> Place {
     Place {
         target: placed.target.clone(),
--- a/crates/ebonylug-entry/src/operator.rs
+++ b/crates/ebonylug-entry/src/operator.rs
@@ -99,7 +99,7 @@
     let (_, body) = body.replace_body(());
     let path = parts.uri.path().strip_prefix(PREFIX).unwrap_or_default();
     let segments: Vec<&str> = path.split('/').collect();
-    let (method, query) = (&parts.method, Query::of(&parts.uri));
+    let (method, query) = (&parts.method, Query::of(&parts.uri)?);
     let expected = expected(&parts.headers)?;
     match (method, segments.as_slice()) {
         (&Method::GET, ["resources", plural]) => list(shared, kind(plural)?),
@@ -309,17 +309,17 @@
 }
 
 impl Query {
-    fn of(uri: &Uri) -> Self {
+    fn of(uri: &Uri) -> Result<Self> {
         let value = |name: &str| {
             let pairs = uri.query().unwrap_or_default().split('&');
             let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
             pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
         };
-        Query {
+        let since = value("since").map(str::parse).transpose();
+        let problem = |_| Problem::malformed("since", "not a revision", "since must be a revision");
+        Ok(Query {
             dry_run: value("dryRun") == Some("true"),
-            since: value("since")
-                .and_then(|since| since.parse().ok())
-                .unwrap_or_default(),
-        }
+            since: since.map_err(problem)?.unwrap_or_default(),
+        })
     }
 }
--- a/crates/ebonylug-entry/src/peers.rs
+++ b/crates/ebonylug-entry/src/peers.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -77,6 +78,15 @@
             .collect()
     }
 
+    /// Returns links to the entries in the settings, for use before the instance list answers.
+    pub fn seeds(&self, addresses: &[SocketAddr]) -> HashMap<Name, Arc<EntryLink>> {
+        let link = |address: &SocketAddr| {
+            let name = Name::new(&format!("seed {address}"));
+            (name, Arc::new(EntryLink::new(*address, self.key.clone())))
+        };
+        addresses.iter().map(link).collect()
+    }
+
     fn choose(&self, rng: &mut ChaCha8Rng) -> Vec<Arc<EntryLink>> {
         let links = self.links.lock().expect("peers lock poisoned");
         links
--- a/crates/ebonylug-entry/src/reply.rs
+++ b/crates/ebonylug-entry/src/reply.rs
@@ -69,7 +69,9 @@
 #[must_use]
 pub fn rejected(status: StatusCode, message: &str) -> Answer {
     let outcome = "not-run";
-    answer(status, outcome, &body(status, outcome, message, None))
+    let mut answer = answer(status, outcome, &body(status, outcome, message, None));
+    insert(&mut answer, wire::REASON, Reason::Invalid.as_str());
+    answer
 }
 
 /// Makes the body of an error, in the form that clients of chat completions expect.
--- a/crates/ebonylug-entry/src/settings.rs
+++ b/crates/ebonylug-entry/src/settings.rs
@@ -23,6 +23,10 @@
     pub key: SharedKey,
     /// The platform's service.
     pub platform: SocketAddr,
+    /// Control addresses of other entries, which are asked for the configuration when this entry
+    /// starts while the platform's service does not answer.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Operators, by the hashes of their tokens.
     pub operators: Vec<Operator>,
     /// Number of targets that this entry sends work to; all of them if there are fewer.
--- a/crates/ebonylug-net/src/serve.rs
+++ b/crates/ebonylug-net/src/serve.rs
@@ -71,11 +71,14 @@
             .listen(listener)?
             .run();
         let handle = running.handle()?;
-        tokio::spawn(async move {
-            if let Err(error) = running.await {
-                tracing::error!(%error, "server: stopped with an error");
-            }
-        });
+        // The server has a runtime of its own, which may not be dropped within another one.
+        std::thread::Builder::new()
+            .name("http".into())
+            .spawn(move || {
+                if let Err(error) = running.wait() {
+                    tracing::error!(%error, "server: stopped with an error");
+                }
+            })?;
         Ok(Server {
             address,
             handle: Some(xitca_handle::Handle(Box::new(move |graceful| {
--- a/crates/ebonylug-sidecar/src/lib.rs
+++ b/crates/ebonylug-sidecar/src/lib.rs
@@ -224,6 +224,7 @@
         Kind::Service => {
             let concurrency = u32::try_from(ceiling).unwrap_or(u32::MAX);
             ebonylug_admission::Settings::service(incarnation, concurrency)
+                .cold_limit(Tokens(settings.cold_limit))
                 .cold_streams(settings.cold_attempts)
         }
     }
