--- a/crates/ebonylugctl/src/command/moves.rs
+++ b/crates/ebonylugctl/src/command/moves.rs
@@ -100,9 +100,7 @@
         return ended;
     }
     let name = stored.name();
-    let state = latest.map_or("nothing is known of it".into(), |phase: Phase| {
-        phase.to_string()
-    });
+    let state = latest.map_or("no phase is known".into(), |phase: Phase| phase.to_string());
     console.note(format_args!(
         "ebonylugctl: {name} has not ended in time: {state}"
     ))?;
