End quietly when the reader of the output has gone

Cause: a closed pipe, as with "ebonylugctl get targets | head -1", gave exit code 0 but an error on standard error.

Change: an error that is no failure is not shown; a test closes the pipe of a real process.

Conclusion: pipes can be closed at any time.

--- a/crates/ebonylugctl/src/error.rs
+++ b/crates/ebonylugctl/src/error.rs
@@ -52,7 +52,7 @@
                 400..500 => Outcome::Refused,
                 _ => Outcome::NoAnswer,
             },
-            // A reader that has seen enough, such as `head`, closes the pipe.
+            // The reader closed the pipe, which it does when it has seen enough.
             Error::Output(error) if error.kind() == io::ErrorKind::BrokenPipe => Outcome::Done,
             Error::Output(_) => Outcome::Refused,
         }
--- a/crates/ebonylugctl/src/lib.rs
+++ b/crates/ebonylugctl/src/lib.rs
@@ -56,6 +56,8 @@
 ) -> Outcome {
     match command::run(arguments, environment, console).await {
         Ok(outcome) => outcome,
+        // A reader that has seen enough, such as `head`, is no error.
+        Err(error) if error.outcome() == Outcome::Done => Outcome::Done,
         Err(error) => {
             // Without standard error, only the exit code is left to report.
             let _ = writeln!(console.errors, "{error}");
--- a/crates/ebonylugctl/tests/exit_codes.rs
+++ b/crates/ebonylugctl/tests/exit_codes.rs
@@ -176,3 +176,23 @@
         assert!(!text.contains(TOKEN), "{arguments:?} {text}");
     }
 }
+
+/// Guards against an error when the reader of the output, such as `head`, has seen enough.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn closed_pipe() {
+    let fake = Fake::start(|_, _| (200, json!({ "revision": 3, "items": [] })));
+    let server = format!("http://{}", fake.address());
+    let run = move || {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ebonylugctl"));
+        command
+            .args(["get", "tiers", "--server", &server])
+            .env("EBONYLUG_TOKEN", TOKEN);
+        let streams = command.stdin(Stdio::null()).stdout(Stdio::piped());
+        let mut child = streams.stderr(Stdio::piped()).spawn().unwrap();
+        drop(child.stdout.take());
+        child.wait_with_output().unwrap()
+    };
+    let output = tokio::task::spawn_blocking(run).await.unwrap();
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    assert!(output.stderr.is_empty(), "{output:?}");
+}
