--- a/crates/ebonylug-demo/tests/failures.rs
+++ b/crates/ebonylug-demo/tests/failures.rs
@@ -77,6 +77,44 @@
     );
 }
 
+/// Guards against a request that runs a second time because its connection went silent before the
+/// first token: the resumption from token 0 must not look like another request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_connection_that_is_silent_from_the_start_is_resumed() {
+    fn slow(target: &Name) -> EngineSettings {
+        EngineSettings {
+            prefill_rate: 20.0,
+            ..common::engine(target)
+        }
+    }
+    let deployment = small_with(slow).await;
+    let call = {
+        let caller = caller(&deployment, 0);
+        tokio::spawn(async move { caller.chat("sisal", "quotation", PROMPT, 8, true).await })
+    };
+    let engines = ["sisal-1", "sisal-2"].map(|target| engine_of(&deployment, target));
+    until("the request has arrived", async || {
+        engines.iter().any(|engine| engine.runs().total > 0)
+    })
+    .await;
+    for engine in engines {
+        let silence = EngineFaults {
+            silence: Silence::Open,
+            ..EngineFaults::default()
+        };
+        engine.set_faults(silence).expect("the faults are valid");
+    }
+    let answer = call
+        .await
+        .expect("the caller runs")
+        .expect("an answer arrives");
+    assert_eq!(streamed(&answer.text()), words(PROMPT, 8));
+    let requests = engines
+        .iter()
+        .flat_map(|engine| engine.runs().requests.into_values());
+    assert_eq!(requests.collect::<Vec<_>>(), [1], "the request ran once");
+}
+
 /// Guards against an answer that loses its end when the connection between entry and sidecar goes
 /// silent in mid-stream.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/ebonylug-sidecar/src/target.rs
+++ b/crates/ebonylug-sidecar/src/target.rs
@@ -98,7 +98,7 @@
     }
 
     async fn attempt(&self, call: &Call, answer: &Answer, tokens: &mut u64, fresh: bool) -> Step {
-        let request = self.request(call, *tokens);
+        let request = self.request(call, *tokens, fresh);
         let wait = self.settings.silence;
         let sent = if fresh {
             self.client.send_fresh(request, wait).await
@@ -114,7 +114,7 @@
         }
     }
 
-    fn request(&self, call: &Call, tokens: u64) -> Request<Full<Bytes>> {
+    fn request(&self, call: &Call, tokens: u64, again: bool) -> Request<Full<Bytes>> {
         let uri = format!("http://{}{}", self.settings.address, call.path);
         let mut request = Request::new(Full::new(call.body.clone()));
         *request.method_mut() = call.method.clone();
@@ -123,7 +123,8 @@
         *request.headers_mut() = call.headers.clone();
         let headers = request.headers_mut();
         headers.insert(wire::ATTEMPT, text(&call.attempt.to_string()));
-        if tokens > 0 {
+        // Also before the first token, so that the target does not take the call for another one.
+        if tokens > 0 || again {
             headers.insert(wire::RESUME, text(&tokens.to_string()));
         }
         request
--- a/crates/ebonylug-standin/src/engine/mod.rs
+++ b/crates/ebonylug-standin/src/engine/mod.rs
@@ -160,12 +160,15 @@
         Ok(request) => request,
         Err(reply) => return Ok(reply),
     };
-    let offset = call.header("x-resume-offset").unwrap_or("0").parse();
-    let Some(offset) = offset.ok().filter(|offset| *offset <= request.max_tokens) else {
+    let resume = call.header("x-resume-offset").map(str::parse).transpose();
+    let Some(resume) = resume
+        .ok()
+        .filter(|offset| offset.unwrap_or(0) <= request.max_tokens)
+    else {
         let message = "x-resume-offset is not a number up to max_tokens";
         return Ok(failure(StatusCode::BAD_REQUEST, message));
     };
-    let admitted = match state.admit(&request, call.header("ebonylug-attempt"), offset) {
+    let admitted = match state.admit(&request, call.header("ebonylug-attempt"), resume) {
         Decision::Run(admitted) => admitted,
         Decision::Fail => {
             let message = "the engine fails as its settings demand";
@@ -180,6 +183,7 @@
             return Ok(failure(StatusCode::NOT_FOUND, "the model is not loaded"));
         }
     };
+    let offset = resume.unwrap_or(0);
     let version = admitted.model.version.clone();
     let conn = call.conn.clone();
     let mut generation = Generation::new(state.clone(), conn.clone(), admitted, &request, offset);
--- a/crates/ebonylug-standin/src/engine/state.rs
+++ b/crates/ebonylug-standin/src/engine/state.rs
@@ -143,7 +143,7 @@
         &self,
         request: &ChatRequest,
         attempt: Option<&str>,
-        offset: u64,
+        offset: Option<u64>,
     ) -> Decision {
         let mut inner = self.lock();
         if !inner.up {
@@ -158,7 +158,11 @@
             return Decision::NoModel;
         };
         inner.runs.total += 1;
-        inner.runs.attempt(attempt, offset > 0);
+        // A request to resume an attempt that the engine has seen continues it, also from its start.
+        let seen = attempt.is_some_and(|attempt| inner.runs.attempts.contains_key(attempt));
+        inner
+            .runs
+            .attempt(attempt, offset.is_some_and(|offset| offset > 0 || seen));
         count(&mut inner.runs.bodies, &request.fingerprint().to_string());
         let load = inner.report.running + inner.report.waiting;
         inner.runs.peak = inner.runs.peak.max(load + 1);
--- a/crates/ebonylug-standin/src/runs.rs
+++ b/crates/ebonylug-standin/src/runs.rs
@@ -23,9 +23,9 @@
     pub cold_peak: u32,
     /// Runs by the header `ebonylug-attempt`.
     pub attempts: BTreeMap<Box<str>, u64>,
-    /// Runs by request, the part of the attempt before its number. Resumed runs are not counted.
+    /// Runs by request, the part of the attempt before its number. Runs that continue an earlier one are not counted.
     pub requests: BTreeMap<Box<str>, u64>,
-    /// Runs with an offset above 0, by request.
+    /// Runs that continue an earlier one, by request.
     pub resumed: BTreeMap<Box<str>, u64>,
     /// Runs by the header `Idempotency-Key`.
     pub keys: BTreeMap<Box<str>, u64>,
