--- a/crates/ebonylug-measure/src/lib.rs
+++ b/crates/ebonylug-measure/src/lib.rs
@@ -11,7 +11,7 @@
 //! * [`world`] is the event loop. [`product`] runs real routers and admissions in it, and
 //!   [`naive`] the baseline.
 //! * [`tally`] records what callers and engines see, whatever the policy believes.
-//! * [`dispatch`] and [`soak`] are measurements. Each prints the targets of the design page
+//! * [`dispatch`], [`soak`] and [`rollout`] are measurements. Each prints the targets of the design page
 //!   beside the figures; the targets are never moved.
 //!
 //! # Example
@@ -35,6 +35,7 @@
 pub mod product;
 pub mod random;
 pub mod report;
+pub mod rollout;
 pub mod soak;
 pub mod tally;
 pub mod workload;
--- a/crates/ebonylug-measure/src/main.rs
+++ b/crates/ebonylug-measure/src/main.rs
@@ -2,6 +2,8 @@
 
 use bpaf::Bpaf;
 use ebonylug_measure::deployment::Deployment;
+use ebonylug_measure::rollout::moves::{self, Behaviour};
+use ebonylug_measure::rollout::zones;
 use ebonylug_measure::{dispatch, report, soak};
 
 /// Compares the product's decisions with a naive policy in virtual time.
@@ -40,6 +42,22 @@
         /// Prints JSON instead of tables.
         json: bool,
     },
+    /// Version moves, and zones that leave and return.
+    #[bpaf(command)]
+    Rollout {
+        /// The number of seeds for good versions, from 1 on; each kind of bad version gets a
+        /// quarter of them, and zones a tenth.
+        #[bpaf(argument("N"), fallback(250))]
+        seeds: u64,
+        /// Runs only this seed.
+        #[bpaf(argument("SEED"))]
+        seed: Option<u64>,
+        /// Runs only this deployment: fibras, scaleward.
+        #[bpaf(argument("NAME"))]
+        case: Option<String>,
+        /// Prints JSON instead of tables.
+        json: bool,
+    },
 }
 
 fn main() {
@@ -57,6 +75,12 @@
             case,
             json,
         } => run_soak(seeds, seed, case.as_deref(), json),
+        Command::Rollout {
+            seeds,
+            seed,
+            case,
+            json,
+        } => run_rollout(seeds, seed, case.as_deref(), json),
     }
 }
 
@@ -98,6 +122,41 @@
     println!("{}", report::targets(&targets));
 }
 
+fn run_rollout(seeds: u64, seed: Option<u64>, case: Option<&str>, json: bool) {
+    let few = seed.map_or(1..=seeds.div_ceil(10), |seed| seed..=seed);
+    let quarter = seed.map_or(1..=seeds.div_ceil(4), |seed| seed..=seed);
+    let seeds = seed.map_or(1..=seeds, |seed| seed..=seed);
+    let (mut planned, mut zoned) = (Vec::new(), Vec::new());
+    for deployment in deployments(case) {
+        for behaviour in [Behaviour::Good].into_iter().chain(Behaviour::BAD) {
+            let seeds = match behaviour {
+                Behaviour::Good => seeds.clone(),
+                _ => quarter.clone(),
+            };
+            planned.extend(seeds.map(|seed| (deployment.clone(), behaviour, seed)));
+        }
+        for dark in [false, true] {
+            zoned.extend(few.clone().map(|seed| (deployment.clone(), dark, seed)));
+        }
+    }
+    let moves = ebonylug_measure::parallel(planned, |(deployment, behaviour, seed)| {
+        moves::case(&deployment, behaviour, seed)
+    });
+    let zones = ebonylug_measure::parallel(zoned, |(deployment, dark, seed)| {
+        zones::case(&deployment, dark, seed)
+    });
+    let mut targets = moves::targets(&moves);
+    targets.extend(zones::targets(&zones));
+    if json {
+        let value = serde_json::json!({ "moves": moves, "zones": zones, "targets": targets });
+        println!("{value:#}");
+        return;
+    }
+    println!("{}", moves::table(&moves));
+    println!("{}", zones::table(&zones));
+    println!("{}", report::targets(&targets));
+}
+
 fn run_dispatch(seeds: u64, seed: Option<u64>, case: Option<&str>, trace: bool, json: bool) {
     let (name, load) = match case.map(|case| case.split_once(':').unwrap_or((case, ""))) {
         Some((name, load)) => (Some(name), load.parse::<f64>().ok()),
--- /dev/null
+++ b/crates/ebonylug-measure/src/rollout.rs
@@ -0,0 +1,4 @@
+//! Version moves, and zones that leave and return, against the baseline.
+
+pub mod moves;
+pub mod zones;
