--- /dev/null
+++ b/crates/ebonylug-measure/src/capacity.rs
@@ -0,0 +1,527 @@
+//! Slopes on one machine: the cost of decisions, the memory of tables, the size of messages, and
+//! the control traffic that follows for the size in two years.
+//!
+//! Times are those of the machine's clock, so only their ratios within one run say something.
+//! Memory is the difference of the resident size in `/proc/self/statm`. What was measured is kept
+//! until the process ends, because the allocator would otherwise give freed memory to the next
+//! measurement and the difference would be too small.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant, SystemTime};
+
+use ebonylug_admission::{Admission, CrashId, CrashLog};
+use ebonylug_core::{
+    AttemptId, End, Fingerprint, Gate, Incarnation, LoadReport, Name, Offer, Outcome, Repeat,
+    RequestId, Revision, Tier, Tokens,
+};
+use ebonylug_moves::{Bucket, Evidence, Sample};
+use ebonylug_routing::{
+    Action, OrganisationKey, Request, RouteKey, Router, Settings, TargetInfo, TargetKey, TargetKind,
+};
+use serde::Serialize;
+
+use crate::report::{Table, Target};
+
+/// Numbers of targets.
+pub const TARGETS: [usize; 4] = [40, 100, 300, 600];
+/// Numbers of organisations.
+const ORGANISATIONS: [usize; 4] = [100, 1_000, 3_000, 6_400];
+/// Numbers of queued requests.
+const QUEUED: [usize; 4] = [1_000, 4_000, 16_000, 64_000];
+/// Numbers of attempts inside one target.
+const STREAMS: [usize; 4] = [16, 64, 256, 1_024];
+/// Decisions for each figure.
+const DECISIONS: usize = 40_000;
+/// The times that each figure is taken; the least one counts, since the machine is shared.
+const ROUNDS: usize = 3;
+/// Work of each request in tokens.
+const COST: u64 = 1_000;
+/// Bytes of a page, as `/proc/self/statm` counts them.
+const PAGE: u64 = 4_096;
+/// Entries and targets in two years.
+const FLEET: (f64, f64) = (410.0, 600.0);
+/// Targets that one entry keeps in contact with.
+const SUBSET: f64 = 40.0;
+/// Exchanges of an entry with its peers: two each half second, and as many that others begin.
+const EXCHANGES: f64 = 8.0;
+/// Bytes of the call around a message, of TCP and of IP. Assumed, not measured.
+const ENVELOPE: f64 = 200.0;
+
+/// A straight line through figures at several sizes.
+#[derive(Clone, Debug, Serialize)]
+pub struct Slope {
+    /// What was measured, with its unit.
+    pub name: String,
+    /// Size and figure.
+    pub points: Vec<(f64, f64)>,
+    /// The figure at size 0.
+    pub base: f64,
+    /// The figure for each unit of size.
+    pub slope: f64,
+    /// The largest distance of a point from the line, as a part of the largest figure.
+    pub residual: f64,
+}
+
+/// All figures.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The slopes.
+    pub slopes: Vec<Slope>,
+    /// Sizes of messages as JSON in bytes.
+    pub messages: Vec<(String, f64)>,
+    /// Control traffic for each node at 410 × 600 in bytes per second.
+    pub traffic: Vec<(String, f64)>,
+}
+
+impl Slope {
+    /// Fits a line by least squares.
+    #[must_use]
+    pub fn fit(name: &str, points: Vec<(f64, f64)>) -> Self {
+        let count = points.len() as f64;
+        let mean = |pick: &dyn Fn(&(f64, f64)) -> f64| points.iter().map(pick).sum::<f64>() / count;
+        let (x, y) = (mean(&|p| p.0), mean(&|p| p.1));
+        let covariance = mean(&|p| (p.0 - x) * (p.1 - y));
+        let variance = mean(&|p| (p.0 - x) * (p.0 - x));
+        let slope = if variance > 0.0 {
+            covariance / variance
+        } else {
+            0.0
+        };
+        let base = y - slope * x;
+        let largest = points
+            .iter()
+            .map(|p| p.1.abs())
+            .fold(f64::MIN_POSITIVE, f64::max);
+        let distance = points.iter().map(|p| (p.1 - base - slope * p.0).abs());
+        let residual = distance.fold(0.0, f64::max) / largest;
+        Slope {
+            name: name.into(),
+            points,
+            base,
+            slope,
+            residual,
+        }
+    }
+}
+
+/// Measures everything. `reports` is the number of reports of a target per second.
+#[must_use]
+pub fn measure(reports: f64) -> Report {
+    // Memory comes first, before the other measurements leave freed memory behind.
+    let memory = [
+        slope("memory, KiB, by targets", &TARGETS, |n| memory(n, 100, 0)),
+        slope("memory, KiB, by organisations", &ORGANISATIONS, |n| {
+            memory(100, n, 0)
+        }),
+        slope("memory, KiB, by queued requests", &QUEUED, |n| {
+            memory(100, 100, n)
+        }),
+    ];
+    let mut slopes = vec![
+        slope("routing decision, us, by targets", &TARGETS, |n| {
+            least(|| routing(n, 100, 0))
+        }),
+        slope(
+            "routing decision, us, by organisations",
+            &ORGANISATIONS,
+            |n| least(|| routing(100, n, 0)),
+        ),
+        slope("routing decision, us, by queued requests", &QUEUED, |n| {
+            least(|| routing(100, 100, n))
+        }),
+        slope("admission decision, us, by streams", &STREAMS, |n| {
+            least(|| admission(n))
+        }),
+    ];
+    slopes.extend(memory);
+    // Above 170 entries the bound on series drops the oldest.
+    let sizes = [10, 40, 100, 160];
+    slopes.push(slope("evidence, bytes as JSON, by entries", &sizes, |n| {
+        size(&evidence(n, 30))
+    }));
+    let messages = messages();
+    let traffic = traffic(reports);
+    Report {
+        slopes,
+        messages,
+        traffic,
+    }
+}
+
+fn slope(name: &str, sizes: &[usize], figure: impl Fn(usize) -> f64) -> Slope {
+    let points = sizes.iter().map(|size| (*size as f64, figure(*size)));
+    Slope::fit(name, points.collect())
+}
+
+fn least(figure: impl Fn() -> f64) -> f64 {
+    (0..ROUNDS).map(|_| figure()).fold(f64::INFINITY, f64::min)
+}
+
+/// An entry whose targets bear half of what they hold at a time.
+struct Entry {
+    router: Router,
+    now: Instant,
+    route: RouteKey,
+    organisations: Vec<OrganisationKey>,
+    targets: Vec<TargetKey>,
+    next: u64,
+}
+
+impl Entry {
+    fn new(targets: usize, organisations: usize) -> Self {
+        let settings = Settings {
+            capacity: 1 << 20,
+            ceiling: 1 << 21,
+            work: Tokens(u64::MAX / 4),
+            ..Settings::default()
+        };
+        let mut router = Router::new(settings, 1);
+        let now = Instant::now();
+        let route = router.route_key(&Name::new("chat"));
+        let version = router.version_key(&Name::new("v1"));
+        router.set_shares(route, &[(version, 1.0)]);
+        let mut keys = Vec::new();
+        for index in 0..targets {
+            let info = TargetInfo {
+                name: Name::new(&format!("engine-{index}")),
+                zone: router.zone_key(&Name::new(&format!("zone-{}", index % 8))),
+                version,
+                routes: [route].into_iter().collect(),
+                kind: TargetKind::Model,
+            };
+            let key = router.add_target(info);
+            router.report(now, key, &load_report(index, 1));
+            keys.push(key);
+        }
+        let name = |index| Name::new(&format!("organisation-{index}"));
+        let organisations = (0..organisations).map(|i| router.organisation_key(&name(i)));
+        Entry {
+            organisations: organisations.collect(),
+            targets: keys,
+            router,
+            now,
+            route,
+            next: 0,
+        }
+    }
+
+    fn request(&mut self, tier: Tier) -> Request {
+        self.next += 1;
+        let place = self.next as usize * 7 % self.organisations.len();
+        Request {
+            id: RequestId(u128::from(self.next)),
+            route: self.route,
+            organisation: self.organisations[place],
+            tier,
+            prompt: Tokens(COST - 256),
+            max_output: Tokens(256),
+            prefix: (0..8).map(|block| place as u64 * 64 + block).collect(),
+            fingerprint: Fingerprint(self.next),
+            deadline: Some(self.now + Duration::from_secs(36_000)),
+            repeat: Repeat::Yes,
+            offset: 0,
+        }
+    }
+
+    fn enqueue(&mut self, tier: Tier) {
+        let request = self.request(tier);
+        black_box(self.router.enqueue(self.now, request).is_ok());
+    }
+
+    fn close(&mut self) {
+        for (index, target) in self.targets.clone().into_iter().enumerate() {
+            let mut report = load_report(index, 2);
+            report.used = report.limit;
+            self.router.report(self.now, target, &report);
+        }
+    }
+}
+
+fn load_report(index: usize, sequence: u64) -> LoadReport {
+    LoadReport {
+        incarnation: Incarnation(0x0123_4567_89ab_cdef),
+        sequence,
+        revision: Revision(250),
+        gate: Gate::Open,
+        up: true,
+        cold: false,
+        limit: Tokens(COST * 50),
+        used: Tokens(COST * 25),
+        batch: Tokens(COST * 10),
+        rate: 500.0 + (index % 3) as f64 * 500.0,
+        reserved: Tokens::ZERO,
+    }
+}
+
+/// Returns the mean time in microseconds of a request from its arrival to its answer: enqueue,
+/// poll, and outcome. `queued` batch requests wait behind full targets.
+fn routing(targets: usize, organisations: usize, queued: usize) -> f64 {
+    let mut entry = Entry::new(targets, organisations);
+    for _ in 0..queued {
+        entry.enqueue(Tier::batch(0));
+        let actions = entry.router.poll(entry.now);
+        if !actions.is_empty() {
+            entry.close();
+        }
+    }
+    // Each organisation is known before the clock starts.
+    for _ in 0..organisations {
+        round(&mut entry);
+    }
+    let start = Instant::now();
+    for _ in 0..DECISIONS {
+        round(&mut entry);
+    }
+    start.elapsed().as_secs_f64() * 1e6 / DECISIONS as f64
+}
+
+fn round(entry: &mut Entry) {
+    entry.now += Duration::from_micros(200);
+    entry.enqueue(Tier::interactive(0));
+    for action in entry.router.poll(entry.now) {
+        if let Action::Dispatch(dispatch) = action {
+            let attempt = dispatch.offer.attempt;
+            entry.router.outcome(entry.now, attempt, Outcome::Answered);
+        }
+    }
+}
+
+/// Returns the mean time in microseconds of an attempt at a sidecar: offer, first token, end.
+fn admission(streams: usize) -> f64 {
+    let start = Instant::now();
+    let settings = ebonylug_admission::Settings::model(Incarnation(1))
+        .cold_limit(Tokens(COST * streams as u64 * 4))
+        .cold_streams(streams as u32 * 4);
+    let mut admission = Admission::new(settings, start);
+    admission.target_up(start);
+    let mut now = start;
+    let mut next = 0_u64;
+    for _ in 0..streams {
+        next += 1;
+        black_box(admission.offer(now, offer(next)));
+    }
+    let clock = Instant::now();
+    for _ in 0..DECISIONS {
+        now += Duration::from_millis(2);
+        next += 1;
+        black_box(admission.offer(now, offer(next)));
+        let oldest = attempt(next - streams as u64);
+        admission.first_token(now, oldest);
+        admission.finish(now, oldest, End::Answered);
+    }
+    clock.elapsed().as_secs_f64() * 1e6 / DECISIONS as f64
+}
+
+fn attempt(number: u64) -> AttemptId {
+    AttemptId {
+        request: RequestId(u128::from(number)),
+        number: 0,
+    }
+}
+
+fn offer(number: u64) -> Offer {
+    Offer {
+        attempt: attempt(number),
+        incarnation: Incarnation(1),
+        revision: Revision(250),
+        tier: Tier::interactive(0),
+        organisation: Name::new("organisation-1"),
+        prompt: Tokens(COST - 256),
+        cached: Tokens(0),
+        output: Tokens(256),
+        fingerprint: Fingerprint(number),
+        repeat: Repeat::Yes,
+        offset: 0,
+        fence: None,
+    }
+}
+
+/// Returns the growth of the resident size in KiB by an entry of these sizes. Each organisation
+/// has had one request.
+fn memory(targets: usize, organisations: usize, queued: usize) -> f64 {
+    // Several copies make the growth large beside whole pages.
+    const COPIES: usize = 4;
+    let before = resident();
+    let mut entries = Vec::new();
+    for _ in 0..COPIES {
+        let mut entry = Entry::new(targets, organisations);
+        for _ in 0..organisations {
+            round(&mut entry);
+        }
+        if queued > 0 {
+            entry.close();
+        }
+        for _ in 0..queued {
+            entry.enqueue(Tier::batch(0));
+        }
+        entries.push(entry);
+    }
+    let after = resident();
+    std::mem::forget(black_box(entries));
+    after.saturating_sub(before) as f64 / 1_024.0 / COPIES as f64
+}
+
+/// Returns the resident size of the process in bytes, or 0 where it cannot be read.
+fn resident() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1);
+    pages
+        .and_then(|pages| pages.parse::<u64>().ok())
+        .unwrap_or(0)
+        * PAGE
+}
+
+fn size(message: &impl Serialize) -> f64 {
+    serde_json::to_vec(message).map_or(0.0, |bytes| bytes.len() as f64)
+}
+
+/// Evidence of a move of three routes, for buckets of two seconds.
+fn evidence(entries: usize, buckets: u64) -> Evidence {
+    let mut evidence = Evidence::default();
+    let start = SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000);
+    for entry in 0..entries {
+        let process = Incarnation(0x0123_4567_89ab_0000 + entry as u64);
+        for bucket in 0..buckets {
+            let now = start + Duration::from_secs(2 * bucket);
+            for version in ["v6", "v7"] {
+                for route in ["quotations", "answers", "summaries"] {
+                    let first = Duration::from_millis(240);
+                    let sample = Sample::answered().timed(first, Some(first / 5), None);
+                    evidence.record(now, process, version, route, sample);
+                }
+            }
+        }
+    }
+    evidence
+}
+
+fn crashes(count: u64) -> CrashLog {
+    let mut log = CrashLog::new();
+    for epoch in 0..count {
+        let id = CrashId {
+            incarnation: Incarnation(0x0123_4567_89ab_cdef),
+            epoch,
+        };
+        log.record(id, (0..30).map(|n| Fingerprint(u64::MAX - epoch * 100 - n)));
+    }
+    log
+}
+
+fn messages() -> Vec<(String, f64)> {
+    vec![
+        ("offer".into(), size(&offer(1))),
+        ("load report".into(), size(&load_report(1, 123_456))),
+        ("crash log, 1 crash of 30 streams".into(), size(&crashes(1))),
+        ("crash log, 64 crashes".into(), size(&crashes(64))),
+        ("evidence, 1 entry, 60 s".into(), size(&evidence(1, 30))),
+        (
+            "evidence, 410 entries, 60 s".into(),
+            size(&evidence(410, 30)),
+        ),
+        ("evidence, own counts, 10 s".into(), size(&own(5))),
+    ]
+}
+
+fn own(buckets: u64) -> Evidence {
+    let process = Incarnation(0x0123_4567_89ab_0000);
+    evidence(1, buckets).since(Bucket(0), Some(process))
+}
+
+/// Returns the control traffic of an entry, received and sent. A move is under way in the second.
+fn traffic(reports: f64) -> Vec<(String, f64)> {
+    let (entries, targets) = FLEET;
+    let report = size(&load_report(1, 123_456)) + ENVELOPE;
+    let heartbeat = SUBSET * report;
+    let watchers = entries * SUBSET / targets;
+    let idle = 2.0 * EXCHANGES / 2.0 * (ENVELOPE + 120.0);
+    let gossip = |evidence: f64| EXCHANGES * (evidence + ENVELOPE);
+    vec![
+        ("reports, heartbeat only, entry".into(), heartbeat),
+        (
+            format!("reports, {reports:.1} per second, entry"),
+            reports * heartbeat,
+        ),
+        (
+            format!("reports, {reports:.1} per second, sidecar"),
+            reports * watchers * report,
+        ),
+        ("gossip without a move, entry".into(), idle),
+        (
+            "gossip in a move as the entry sends it (all processes, 60 s)".into(),
+            gossip(size(&evidence(410, 30))),
+        ),
+        (
+            "gossip in a move with own counts of 10 s only".into(),
+            gossip(size(&own(5))),
+        ),
+    ]
+}
+
+/// Returns the targets of section 1.3 that the figures show.
+#[must_use]
+pub fn targets(report: &Report) -> Vec<Target> {
+    let routing = &report.slopes[0].points;
+    let (first, last) = (routing[0].1, routing[routing.len() - 1].1);
+    let logarithm = (TARGETS[3] as f64).ln() / (TARGETS[0] as f64).ln();
+    let traffic = |place: usize| report.traffic[place].1;
+    let calm = traffic(1) + traffic(3);
+    let moving = traffic(1) + traffic(4);
+    let bound = 13_000.0;
+    vec![
+        Target::at_most(
+            "routing decision at 40 targets, us (this machine)".into(),
+            "< 5",
+            first,
+            5.0,
+        ),
+        Target::at_most(
+            "cost at 600 targets over 40 targets".into(),
+            "<= ln 600 / ln 40 = 1.73",
+            last / first,
+            logarithm,
+        ),
+        Target::at_most(
+            "control traffic of an entry at 410 x 600, B/s".into(),
+            "< 13,000",
+            calm,
+            bound,
+        ),
+        Target::at_most(
+            "the same while a version moves, B/s".into(),
+            "< 13,000",
+            moving,
+            bound,
+        ),
+    ]
+}
+
+/// Renders the figures.
+#[must_use]
+pub fn tables(report: &Report) -> Vec<Table> {
+    let mut slopes = Table::new(&["figure", "points", "base", "per unit", "residual"]);
+    for slope in &report.slopes {
+        let points = slope
+            .points
+            .iter()
+            .map(|(size, figure)| format!("{size}: {figure:.2}"));
+        slopes.row(vec![
+            slope.name.clone(),
+            points.collect::<Vec<_>>().join("  "),
+            format!("{:.3}", slope.base),
+            format!("{:.6}", slope.slope),
+            format!("{:.1} %", 100.0 * slope.residual),
+        ]);
+    }
+    let list = |head: &str, rows: &[(String, f64)]| {
+        let mut table = Table::new(&[head, ""]);
+        for (name, figure) in rows {
+            table.row(vec![name.clone(), format!("{figure:.0}")]);
+        }
+        table
+    };
+    vec![
+        slopes,
+        list("message, bytes as JSON", &report.messages),
+        list("control traffic at 410 x 600, B/s", &report.traffic),
+    ]
+}
--- a/crates/ebonylug-measure/src/dispatch.rs
+++ b/crates/ebonylug-measure/src/dispatch.rs
@@ -120,6 +120,16 @@
     product.samples
 }
 
+/// Returns the number of reports of a target per second at load 1.
+#[must_use]
+pub fn report_rate(deployment: &Deployment, length: Length, seed: u64) -> f64 {
+    let total = length.warm_up + length.window;
+    let jobs = arrivals(deployment, 1.0, total, seed);
+    let mut product = Product::new(seed);
+    run(deployment, jobs, Vec::new(), total, seed, &mut product);
+    product.reports() * SECOND as f64 / total as f64
+}
+
 /// Crashes one engine each minute, so that a cold start is part of each case.
 fn restarts(deployment: &Deployment, length: Length, seed: u64) -> Vec<(u64, Fault)> {
     let mut random = Random::new(seed, 500);
--- a/crates/ebonylug-measure/src/lib.rs
+++ b/crates/ebonylug-measure/src/lib.rs
@@ -11,7 +11,7 @@
 //! * [`world`] is the event loop. [`product`] runs real routers and admissions in it, and
 //!   [`naive`] the baseline.
 //! * [`tally`] records what callers and engines see, whatever the policy believes.
-//! * [`dispatch`], [`soak`] and [`rollout`] are measurements. Each prints the targets of the design page
+//! * [`dispatch`], [`soak`], [`rollout`] and [`capacity`] are measurements. Each prints the targets of the design page
 //!   beside the figures; the targets are never moved.
 //!
 //! # Example
@@ -27,6 +27,7 @@
 //! ```
 
 pub mod cache;
+pub mod capacity;
 pub mod deployment;
 pub mod dispatch;
 pub mod engine;
--- a/crates/ebonylug-measure/src/main.rs
+++ b/crates/ebonylug-measure/src/main.rs
@@ -4,7 +4,7 @@
 use ebonylug_measure::deployment::Deployment;
 use ebonylug_measure::rollout::moves::{self, Behaviour};
 use ebonylug_measure::rollout::zones;
-use ebonylug_measure::{dispatch, report, soak};
+use ebonylug_measure::{capacity, dispatch, report, soak};
 
 /// Compares the product's decisions with a naive policy in virtual time.
 #[derive(Clone, Debug, Bpaf)]
@@ -58,6 +58,12 @@
         /// Prints JSON instead of tables.
         json: bool,
     },
+    /// Cost of decisions, memory and control traffic at several sizes.
+    #[bpaf(command)]
+    Capacity {
+        /// Prints JSON instead of tables.
+        json: bool,
+    },
 }
 
 fn main() {
@@ -81,6 +87,7 @@
             case,
             json,
         } => run_rollout(seeds, seed, case.as_deref(), json),
+        Command::Capacity { json } => run_capacity(json),
     }
 }
 
@@ -157,6 +164,21 @@
     println!("{}", report::targets(&targets));
 }
 
+fn run_capacity(json: bool) {
+    let reports = dispatch::report_rate(&Deployment::fibras(), dispatch::Length::default(), 1);
+    let report = capacity::measure(reports);
+    let targets = capacity::targets(&report);
+    if json {
+        let value = serde_json::json!({ "report": report, "targets": targets });
+        println!("{value:#}");
+        return;
+    }
+    for table in capacity::tables(&report) {
+        println!("{table}");
+    }
+    println!("{}", report::targets(&targets));
+}
+
 fn run_dispatch(seeds: u64, seed: Option<u64>, case: Option<&str>, trace: bool, json: bool) {
     let (name, load) = match case.map(|case| case.split_once(':').unwrap_or((case, ""))) {
         Some((name, load)) => (Some(name), load.parse::<f64>().ok()),
--- a/crates/ebonylug-measure/src/product.rs
+++ b/crates/ebonylug-measure/src/product.rs
@@ -120,6 +120,13 @@
         }
     }
 
+    /// Returns the number of reports that each target made, on average.
+    #[must_use]
+    pub fn reports(&self) -> f64 {
+        let reports: u64 = self.sidecars.iter().map(|sidecar| sidecar.reports).sum();
+        reports as f64 / self.sidecars.len().max(1) as f64
+    }
+
     fn sample(&mut self, core: &Core<Message>) {
         let mut engines = Vec::new();
         for (sidecar, spec) in self.sidecars.iter().zip(&core.deployment.targets) {
--- a/crates/ebonylug-measure/src/product/sidecar.rs
+++ b/crates/ebonylug-measure/src/product/sidecar.rs
@@ -9,6 +9,9 @@
 
 /// The shortest time between two reports on change.
 const REPORT_PAUSE: u64 = 50_000;
+/// The change of work or limit, as a part of the limit, that is worth a report. The rule is that
+/// of the control path.
+const SIGNIFICANT: f64 = 0.25;
 /// The longest time between two reports.
 const REPORT_EVERY: u64 = SECOND;
 /// The lag of the engine's own report.
@@ -26,7 +29,10 @@
     running: BTreeMap<AttemptId, Running>,
     ended: BTreeMap<AttemptId, (u64, Tail)>,
     reported: u64,
+    last: Option<LoadReport>,
     due: bool,
+    /// Reports that were made.
+    pub(super) reports: u64,
     alive: u64,
     engine: Vec<(u64, ebonylug_core::EngineReport)>,
 }
@@ -54,7 +60,9 @@
             running: BTreeMap::new(),
             ended: BTreeMap::new(),
             reported: 0,
+            last: None,
             due: false,
+            reports: 0,
             alive: 0,
             engine: Vec::new(),
         }
@@ -281,17 +289,31 @@
 
     /// Reports soon, since something has changed.
     fn changed(&mut self, core: &mut Core<Message>) {
-        if !self.due {
+        if !self.due && self.is_outdated(core) {
             self.due = true;
             let at = self.reported + REPORT_PAUSE;
             core.timer(at, Node::Target(self.target), Message::ReportDue);
         }
     }
 
+    /// Reports whether the entries should hear of the present state before the next heartbeat.
+    fn is_outdated(&self, core: &Core<Message>) -> bool {
+        let now = self.load(core);
+        let Some(last) = &self.last else {
+            return true;
+        };
+        let state = |r: &LoadReport| (r.incarnation, r.revision, r.gate, r.up, r.cold);
+        let bound = now.limit.as_f64() * SIGNIFICANT;
+        let moved = |a: Tokens, b: Tokens| (a.as_f64() - b.as_f64()).abs() > bound;
+        state(last) != state(&now) || moved(last.limit, now.limit) || moved(last.used, now.used)
+    }
+
     fn report(&mut self, core: &mut Core<Message>) {
         self.reported = core.now;
-        let report = self.admission.report(core.instant());
+        self.reports += 1;
+        let report = self.load(core);
         debug_assert_eq!(report.incarnation, self.incarnation);
+        self.last = Some(report.clone());
         self.tell_entries(core, &Message::Report(self.target, report));
     }
 
