measure: leave out failing targets in the naive policy, test the measures

A target that is down drew all retries of the naive policy, which made it worse than any load balancer in use.

--- a/crates/ebonylug-measure/src/main.rs
+++ b/crates/ebonylug-measure/src/main.rs
@@ -160,6 +160,14 @@
         return;
     }
     println!("{}", moves::table(&moves));
+    for case in &moves {
+        let good = case.behaviour == Behaviour::Good;
+        let wrong = good != case.product.in_time || good == case.product.rolled_back;
+        if wrong {
+            let (name, seed, kind) = (case.deployment, case.seed, case.behaviour);
+            println!("wrong: {kind:?}; ebonylug-measure rollout --case {name} --seed {seed}");
+        }
+    }
     println!("{}", zones::table(&zones));
     println!("{}", report::targets(&targets));
 }
--- a/crates/ebonylug-measure/src/naive.rs
+++ b/crates/ebonylug-measure/src/naive.rs
@@ -1,4 +1,7 @@
 //! The baseline: round robin, FIFO queues, a fixed limit and a retry on any error.
+//!
+//! A target that gave an error is left out for a second, as usual load balancers do. Without
+//! that, a target that is down would draw all requests, since it always has room.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -19,6 +22,8 @@
 const MODEL_TIMEOUT: u64 = 60 * SECOND;
 /// Time for a plain service to answer.
 const SERVICE_TIMEOUT: u64 = 5 * SECOND;
+/// Time that a target is left out after an error.
+const LEFT_OUT: u64 = SECOND;
 /// The interval at which the store is polled for zones that are taken out.
 const POLL: u64 = 5 * SECOND;
 
@@ -40,6 +45,8 @@
     queues: [VecDeque<(usize, u32)>; 2],
     next: [usize; 2],
     in_flight: Vec<usize>,
+    /// Until when each target is left out.
+    out: Vec<u64>,
     live: BTreeMap<AttemptId, (usize, bool)>,
 }
 
@@ -60,6 +67,8 @@
     Cancel(AttemptId),
     /// Timer: the target had to accept by now.
     ConnectTimeout(AttemptId),
+    /// Timer: a target is chosen again.
+    Pump,
     /// Timer: the answer had to be there by now.
     Timeout(AttemptId),
 }
@@ -91,6 +100,7 @@
             let polled = core.now - core.now % POLL;
             let drained = self.drained[zone].is_some_and(|since| since <= polled);
             let fits = matches!(kind, Kind::Service { .. }) == service
+                && entry.out[target] <= core.now
                 && entry.in_flight[target] < limit(kind, core.deployment.entries);
             if fits && !drained {
                 entry.next[usize::from(service)] = target + 1;
@@ -169,6 +179,10 @@
                 }
                 (attempt, true)
             }
+            Message::Pump => {
+                self.pump(core, index);
+                return;
+            }
             Message::Start(..) | Message::Cancel(_) => return,
         };
         let Some(target) = self.free(index, attempt) else {
@@ -184,6 +198,8 @@
             );
             core.network.reconnect(index, target);
         }
+        self.entries[index].out[target] = core.now + LEFT_OUT;
+        core.timer(core.now + LEFT_OUT, Node::Entry(index), Message::Pump);
         self.retry(core, index, attempt);
         self.pump(core, index);
     }
@@ -233,6 +249,7 @@
         let targets = core.engines.len();
         let entry = |_| Entry {
             in_flight: vec![0; targets],
+            out: vec![0; targets],
             ..Entry::default()
         };
         self.entries = (0..core.deployment.entries).map(entry).collect();
--- a/crates/ebonylug-measure/src/rollout/zones.rs
+++ b/crates/ebonylug-measure/src/rollout/zones.rs
@@ -15,8 +15,9 @@
 
 /// The load as a multiple of the capacity of all zones.
 const LOAD: f64 = 1.0;
-/// When the zone leaves, when it returns, and when the case ends.
-const TIMES: [u64; 3] = [80 * SECOND, 140 * SECOND, 220 * SECOND];
+/// When the zone leaves, when it returns, and when the case ends. The baseline polls the store
+/// each 5 s, and the zone leaves between two polls.
+const TIMES: [u64; 3] = [82 * SECOND, 142 * SECOND, 222 * SECOND];
 
 /// One case under both policies.
 #[derive(Clone, Debug, Serialize)]
