--- a/crates/ebonylug-measure/src/capacity.rs
+++ b/crates/ebonylug-measure/src/capacity.rs
@@ -104,11 +104,10 @@
     }
 }
 
-/// Measures everything. `reports` is the number of reports of a target per second.
+/// Measures the memory. To be called first in a process, before others leave freed memory behind.
 #[must_use]
-pub fn measure(reports: f64) -> Report {
-    // Memory comes first, before the other measurements leave freed memory behind.
-    let memory = [
+pub fn memory_slopes() -> Vec<Slope> {
+    vec![
         slope("memory, KiB, by targets", &TARGETS, |n| memory(n, 100, 0)),
         slope("memory, KiB, by organisations", &ORGANISATIONS, |n| {
             memory(100, n, 0)
@@ -116,7 +115,12 @@
         slope("memory, KiB, by queued requests", &QUEUED, |n| {
             memory(100, 100, n)
         }),
-    ];
+    ]
+}
+
+/// Measures everything else. `reports` is the number of reports of a target per second.
+#[must_use]
+pub fn measure(memory: Vec<Slope>, reports: f64) -> Report {
     let mut slopes = vec![
         slope("routing decision, us, by targets", &TARGETS, |n| {
             least(|| routing(n, 100, 0))
--- a/crates/ebonylug-measure/src/main.rs
+++ b/crates/ebonylug-measure/src/main.rs
@@ -3,7 +3,7 @@
 use bpaf::Bpaf;
 use ebonylug_measure::deployment::Deployment;
 use ebonylug_measure::rollout::moves::{self, Behaviour};
-use ebonylug_measure::rollout::zones;
+use ebonylug_measure::rollout::{summary, zones};
 use ebonylug_measure::{capacity, dispatch, report, soak};
 
 /// Compares the product's decisions with a naive policy in virtual time.
@@ -152,14 +152,14 @@
     let zones = ebonylug_measure::parallel(zoned, |(deployment, dark, seed)| {
         zones::case(&deployment, dark, seed)
     });
-    let mut targets = moves::targets(&moves);
+    let mut targets = summary::targets(&moves);
     targets.extend(zones::targets(&zones));
     if json {
         let value = serde_json::json!({ "moves": moves, "zones": zones, "targets": targets });
         println!("{value:#}");
         return;
     }
-    println!("{}", moves::table(&moves));
+    println!("{}", summary::table(&moves));
     for case in &moves {
         let good = case.behaviour == Behaviour::Good;
         let wrong = good != case.product.in_time || good == case.product.rolled_back;
@@ -173,8 +173,9 @@
 }
 
 fn run_capacity(json: bool) {
+    let memory = capacity::memory_slopes();
     let reports = dispatch::report_rate(&Deployment::fibras(), dispatch::Length::default(), 1);
-    let report = capacity::measure(reports);
+    let report = capacity::measure(memory, reports);
     let targets = capacity::targets(&report);
     if json {
         let value = serde_json::json!({ "report": report, "targets": targets });
