--- a/crates/ebonylug-measure/src/product.rs
+++ b/crates/ebonylug-measure/src/product.rs
@@ -120,6 +120,13 @@
         }
     }
 
+    /// Returns the number of reports that each target made, on average.
+    #[must_use]
+    pub fn reports(&self) -> f64 {
+        let reports: u64 = self.sidecars.iter().map(|sidecar| sidecar.reports).sum();
+        reports as f64 / self.sidecars.len().max(1) as f64
+    }
+
     fn sample(&mut self, core: &Core<Message>) {
         let mut engines = Vec::new();
         for (sidecar, spec) in self.sidecars.iter().zip(&core.deployment.targets) {
@@ -152,7 +159,9 @@
     fn note_dispatches(&mut self, core: &Core<Message>, entry: usize) {
         for target in self.entries[entry].dispatched.drain(..) {
             let zone = core.zone(Node::Target(target));
-            if let Some(since) = self.lost[zone] {
+            // An entry inside a dark zone is cut off together with its targets.
+            let inside = core.network.is_dark(zone) && core.zone(Node::Entry(entry)) == zone;
+            if let Some(since) = self.lost[zone].filter(|_| !inside) {
                 let second = ((core.now - since) / SECOND) as usize;
                 self.into_lost_zone[second.min(7)] += 1;
             }
