--- a/crates/ebonylug-admission/tests/support/mod.rs
+++ b/crates/ebonylug-admission/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use ebonylug_admission::{Admission, Decision, Settings};
+use ebonylug_admission::{Admission, CrashId, CrashLog, Decision, Settings};
 use ebonylug_core::{
     AttemptId, End, Fingerprint, Incarnation, Name, Offer, Reason, Repeat, RequestId, Revision,
     Tier, Tokens,
@@ -62,3 +62,16 @@
     assert!(!admission.report(now).cold);
     (admission, now)
 }
+
+/// Returns the log of another sidecar that saw these fingerprints in flight in its crashes.
+pub fn crashes(in_flight: &[&[u64]]) -> CrashLog {
+    let mut log = CrashLog::new();
+    for (epoch, in_flight) in (1..).zip(in_flight) {
+        let incarnation = Incarnation(99);
+        log.record(
+            CrashId { incarnation, epoch },
+            in_flight.iter().map(|f| Fingerprint(*f)),
+        );
+    }
+    log
+}
