--- a/crates/ebonylug-admission/src/admission.rs
+++ b/crates/ebonylug-admission/src/admission.rs
@@ -385,9 +385,7 @@
         if self.streams.has_alone() || (suspect && !empty) {
             return None;
         }
-        let reserved = self
-            .reservations
-            .against(now, offer.attempt.request, offer.tier);
+        let reserved = self.reservations.against(now, offer.tier);
         if self.limit.is_cold() {
             let fits = self.limit.fits_cold(self.streams.load(), cost, reserved);
             return (fits || self.is_probe(now, offer)).then(Attempts::new);
@@ -427,9 +425,7 @@
     fn is_probe(&self, now: Instant, offer: &Offer) -> bool {
         let empty = self.streams.len() == 0;
         let waited = now.saturating_duration_since(self.empty_since) >= self.settings.cold_probe;
-        let reserved = self
-            .reservations
-            .against(now, offer.attempt.request, offer.tier);
+        let reserved = self.reservations.against(now, offer.tier);
         empty && waited && reserved == Tokens::ZERO
     }
 
--- a/crates/ebonylug-admission/src/reservation.rs
+++ b/crates/ebonylug-admission/src/reservation.rs
@@ -31,10 +31,11 @@
 
     /// Returns the room that `tier` must leave to other requests.
     ///
-    /// Batch work respects each reservation; interactive work those of more urgent ranks.
-    pub(crate) fn against(&self, now: Instant, request: RequestId, tier: Tier) -> Tokens {
+    /// Batch work respects each reservation; interactive work those of more urgent ranks,
+    /// so that a request never waits for its own.
+    pub(crate) fn against(&self, now: Instant, tier: Tier) -> Tokens {
         self.live(now)
-            .filter(|r| r.request != request && (!tier.is_interactive() || r.rank < tier.rank))
+            .filter(|r| !tier.is_interactive() || r.rank < tier.rank)
             .map(|r| r.tokens)
             .sum()
     }
--- a/crates/ebonylug-admission/tests/limit.rs
+++ b/crates/ebonylug-admission/tests/limit.rs
@@ -189,7 +189,7 @@
 #[test]
 fn a_short_load_is_not_proved() {
     let mut engine = Engine::new(settings(), 1_000, ms(1));
-    engine.one(100, 0, 1);
+    engine.one(300, 0, 1);
     assert!(engine.send(400));
     engine.now += ms(399);
     assert!(engine.send(100));
--- a/crates/ebonylug-admission/tests/priority.rs
+++ b/crates/ebonylug-admission/tests/priority.rs
@@ -64,6 +64,12 @@
             "u700",
             Some(&[0, 2]),
         ),
+        (
+            "one that costs less than several",
+            "s100 s150 s200 s420",
+            "u530",
+            Some(&[3]),
+        ),
         ("never what must not repeat", "n600", "u500", None),
         ("never interactive work", "u600", "u500", None),
         ("not enough", "u600 b300", "u500", None),
