--- a/crates/ebonylug-moves/src/evidence.rs
+++ b/crates/ebonylug-moves/src/evidence.rs
@@ -71,10 +71,9 @@
             process,
         };
         let bucket = Bucket::of(now);
-        let cell = self.series.get(&key).and_then(|cells| cells.get(&bucket));
-        let mut counts = cell.copied().unwrap_or_default();
-        counts.add(sample);
-        self.raise(key, bucket, counts);
+        let mut one = Counts::default();
+        one.add(sample);
+        self.change(key, bucket, |cell| cell.plus(one));
         self.drop_series();
     }
 
@@ -116,16 +115,17 @@
             .unwrap_or_default()
     }
 
-    /// Returns the sums over all processes for one version and route, oldest bucket first.
+    /// Returns the sums over all processes for one version and route, from bucket `first` on.
     pub fn totals(
         &self,
         version: &Name,
         route: &Name,
+        first: Bucket,
     ) -> impl Iterator<Item = (Bucket, Counts)> + '_ {
         self.totals
             .get(&(version.clone(), route.clone()))
             .into_iter()
-            .flatten()
+            .flat_map(move |cells| cells.range(first..))
             .map(|(bucket, counts)| (*bucket, *counts))
     }
 
@@ -143,10 +143,14 @@
     }
 
     fn raise(&mut self, key: Key, bucket: Bucket, counts: Counts) {
+        self.change(key, bucket, |cell| cell.max(counts));
+    }
+
+    fn change(&mut self, key: Key, bucket: Bucket, change: impl FnOnce(Counts) -> Counts) {
         let total = (key.version.clone(), key.route.clone());
         let cells = self.series.entry(key).or_default();
         let cell = cells.entry(bucket).or_default();
-        let raised = cell.max(counts);
+        let raised = change(*cell);
         let growth = raised.minus(*cell);
         *cell = raised;
         let expired = if cells.len() > MAX_CELLS {
--- a/crates/ebonylug-moves/src/judge.rs
+++ b/crates/ebonylug-moves/src/judge.rs
@@ -1,12 +1,13 @@
-use std::collections::BTreeMap;
 use std::fmt;
 use std::time::SystemTime;
 
 use ebonylug_core::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::likelihood::{Beta, Tally, log_ratio};
-use crate::{Bucket, Counts, Evidence, MoveSpec};
+use crate::likelihood::{Beta, Tally, Usual, log_ratios};
+use crate::memo::Memo;
+use crate::strata::{Group, strata};
+use crate::{Evidence, MoveSpec};
 
 /// What is compared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -19,7 +20,7 @@
 }
 
 /// Where and how the new version is worse.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Finding {
     /// The route, or `None` if the sum over all routes shows it.
     pub route: Option<Name>,
@@ -29,6 +30,8 @@
     pub new: (u64, u64),
     /// Bad and all requests of the old version in the same buckets.
     pub old: (u64, u64),
+    /// The log likelihood ratio.
+    pub ratio: f64,
 }
 
 impl fmt::Display for Finding {
@@ -48,7 +51,7 @@
 }
 
 /// The result of a comparison.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Judgement {
     /// The evidence does not suffice yet.
     Continue,
@@ -63,7 +66,7 @@
 
 /// Compares two versions by a sequential test on their failures and slow answers.
 ///
-/// For each bucket, the log likelihood ratio of "the new version is worse" against "both share
+/// For each bucket (or several, if the traffic is low), the log likelihood ratio of "the new version is worse" against "both share
 /// one rate" is added up, starting again from zero whenever it becomes negative (the CUSUM
 /// scheme), so that a version that turns bad late is found as fast as one that is bad at once.
 /// Each route is tested by itself and together with the others.
@@ -78,13 +81,13 @@
     pub absolute: f64,
     /// Log likelihood ratio above which the new version is suspect.
     pub suspect: f64,
+    /// Log likelihood ratio that the sum over the buckets must exceed for the version to be bad.
+    pub sum: f64,
     /// Negative log likelihood ratio below which the new version is good.
     pub good: f64,
     /// The most that one bucket may add. It is less than `bad`, so that one crashed target,
     /// which fails many requests in one moment, does not condemn its version.
     pub limit: f64,
-    /// Requests of the old version that make a bucket comparable.
-    pub control: u64,
     /// A rate of the new version up to `factor` times the old one's plus `margin` is tolerated.
     pub factor: f64,
     /// See `factor`.
@@ -92,16 +95,16 @@
 }
 
 impl Default for Judge {
-    /// With the priors of [`Measure`], a ratio of e^13 bounds the chance of a false alarm in a
+    /// With the priors of [`Measure`], a ratio of e^15 bounds the chance of a false alarm in a
     /// move of an hour (1,800 buckets, two measures, four hypotheses) well below 1 %.
     fn default() -> Self {
         Judge {
-            bad: 13.0,
+            bad: 15.0,
             absolute: 30.0,
-            suspect: 4.0,
+            suspect: 2.5,
+            sum: 8.0,
             good: 3.0,
-            limit: 7.0,
-            control: 3,
+            limit: 8.0,
             factor: 2.0,
             margin: 0.01,
         }
@@ -112,36 +115,26 @@
     /// Compares the versions of a move by the evidence up to `now`.
     #[must_use]
     pub fn judge(&self, spec: &MoveSpec, evidence: &Evidence, now: SystemTime) -> Judgement {
-        let window = Bucket::of(spec.start)..=Bucket::of(now);
-        let mut pooled = Pairs::new();
-        let mut strata: Vec<(Option<Name>, Pairs)> = Vec::new();
-        for route in &spec.routes {
-            let mut pairs = Pairs::new();
-            let new = evidence.totals(&spec.to, route);
-            for (bucket, new) in new.filter(|(bucket, _)| window.contains(bucket)) {
-                let old = evidence.total(&spec.from, route, bucket);
-                pairs.insert(bucket, (new, old));
-                let sum = pooled.entry(bucket).or_default();
-                *sum = (sum.0.plus(new), sum.1.plus(old));
-            }
-            strata.push((Some(route.clone()), pairs));
-        }
-        if spec.routes.len() > 1 {
-            strata.push((None, pooled));
-        }
-        self.combine(&strata)
+        self.judge_with(&mut Memo::default(), spec, evidence, now)
     }
 
-    fn combine(&self, strata: &[(Option<Name>, Pairs)]) -> Judgement {
+    pub(crate) fn judge_with(
+        &self,
+        memo: &mut Memo,
+        spec: &MoveSpec,
+        evidence: &Evidence,
+        now: SystemTime,
+    ) -> Judgement {
+        let strata = strata(spec, evidence, now);
         let mut suspect = None;
         let mut good = true;
-        for (index, (route, pairs)) in strata.iter().enumerate() {
+        for (index, stratum) in strata.iter().enumerate() {
             for measure in [Measure::Failures, Measure::Slowness] {
-                let trial = self.run(measure, pairs);
-                let finding = || trial.finding(route.clone(), measure);
+                let trial = self.run(memo, index, measure, &stratum.groups);
+                let finding = || trial.finding(stratum.route.cloned(), measure);
                 match trial.outcome {
                     Outcome::Bad => return Judgement::Bad(finding()),
-                    Outcome::Suspect => suspect = Some(finding()),
+                    Outcome::Suspect => suspect = stronger(suspect, finding()),
                     // The last stratum is the sum over all routes, or the only route.
                     Outcome::Open if index + 1 == strata.len() => good = false,
                     Outcome::Open | Outcome::Good => {}
@@ -155,119 +148,134 @@
         }
     }
 
-    fn run(&self, measure: Measure, pairs: &Pairs) -> Trial {
-        let (usual, worse) = measure.priors();
-        let mut cusum = worse.map(|_| Cusum::default());
+    fn run(&self, memo: &mut Memo, stratum: usize, measure: Measure, groups: &[Group]) -> Trial {
+        let stratum = 2 * stratum + measure as usize;
+        let mut cusum = [Cusum::default(); 2];
         let mut sum = 0.0;
-        for (new, old) in pairs.values() {
-            let (new, old) = (measure.tally(new), measure.tally(old));
+        for group in groups {
+            let (new, old) = (group.new_tally(measure), group.old_tally(measure));
             if new.all == 0 {
                 continue;
             }
-            let tolerated = new.rate() <= self.factor * old.rate() + self.margin;
-            for (i, worse) in worse.into_iter().enumerate() {
-                let ratio = log_ratio(new, old, usual, worse).min(self.limit);
-                let ratio = if tolerated { ratio.min(0.0) } else { ratio };
-                cusum[i].add(ratio, new, old, old.all >= self.control);
-                if i == 0 {
-                    sum += ratio;
-                }
+            let ratios = memo.ratios(stratum, group.first, new, old, || {
+                self.ratios(measure, new, old, self.limit)
+            });
+            let comparable = group.is_comparable();
+            for (cusum, ratio) in cusum.iter_mut().zip(ratios) {
+                cusum.add(ratio, new, old, comparable);
             }
+            sum += ratios[0];
         }
-        self.decide(&cusum, sum)
+        self.decide(measure, &cusum, sum)
+    }
+
+    /// Reports whether the sum over the groups shows it too. In a long burst, chance alone makes
+    /// the new version look worse in some groups; the sum evens that out.
+    fn confirms(&self, measure: Measure, run: &Run) -> bool {
+        let ratios = self.ratios(measure, run.new, run.old, f64::INFINITY);
+        ratios.into_iter().any(|ratio| ratio > self.sum)
+    }
+
+    fn ratios(&self, measure: Measure, new: Tally, old: Tally, limit: f64) -> [f64; 2] {
+        let (usual, worse) = measure.priors();
+        let tolerated = new.rate() <= self.factor * old.rate() + self.margin;
+        let most = if tolerated { 0.0 } else { limit };
+        log_ratios(new, old, usual, worse).map(|ratio| ratio.min(most))
     }
 
-    fn decide(&self, cusum: &[Cusum; 2], sum: f64) -> Trial {
+    fn decide(&self, measure: Measure, cusum: &[Cusum; 2], sum: f64) -> Trial {
         let mut trial = Trial {
             outcome: Outcome::Open,
-            new: Tally::default(),
-            old: Tally::default(),
+            run: Run::default(),
         };
         if sum <= -self.good {
             trial.outcome = Outcome::Good;
         }
         for c in cusum {
-            let bad = c.compared > self.bad || c.any > self.absolute;
-            let suspect = c.compared.max(c.any) > self.suspect;
-            let outcome = match (bad, suspect) {
-                (true, _) => Outcome::Bad,
-                (false, true) if trial.outcome != Outcome::Bad => Outcome::Suspect,
-                _ => continue,
+            let proven = c.compared.sum > self.bad && self.confirms(measure, &c.compared);
+            let bad = proven || c.any.sum > self.absolute;
+            let run = if proven || c.compared.sum > c.any.sum {
+                c.compared
+            } else {
+                c.any
             };
-            trial = Trial {
-                outcome,
-                new: c.new,
-                old: c.old,
+            let outcome = match (bad, run.sum > self.suspect) {
+                (true, _) => Outcome::Bad,
+                (false, true) => Outcome::Suspect,
+                (false, false) => continue,
             };
+            if outcome > trial.outcome || outcome == trial.outcome && run.sum > trial.run.sum {
+                trial = Trial { outcome, run };
+            }
         }
         trial
     }
 }
 
-type Pairs = BTreeMap<Bucket, (Counts, Counts)>;
-
 impl Measure {
     /// Returns the usual rate, then a moderately and a clearly worse one.
     ///
     /// A healthy version fails about 1 % and, by the definition of the reference, is slow in
-    /// about 5 %. The usual rates are spread widely, since bursts raise them for a while.
-    fn priors(self) -> (Beta, [Beta; 2]) {
+    /// about 5 %.
+    pub(crate) fn priors(self) -> (Usual, [Beta; 2]) {
+        let beta = |a, b| Beta { a, b };
+        let usual = |calm| Usual {
+            calm,
+            burst: beta(1.0, 1.0),
+            bursts: 0.05,
+        };
         match self {
-            Measure::Failures => (
-                Beta { a: 0.1, b: 9.9 },
-                [Beta { a: 2.0, b: 18.0 }, Beta { a: 2.0, b: 2.0 }],
-            ),
-            Measure::Slowness => (
-                Beta { a: 0.5, b: 9.5 },
-                [Beta { a: 4.0, b: 12.0 }, Beta { a: 3.0, b: 2.0 }],
-            ),
+            Measure::Failures => (usual(beta(1.0, 99.0)), [beta(2.0, 18.0), beta(1.0, 1.0)]),
+            Measure::Slowness => (usual(beta(2.0, 38.0)), [beta(4.0, 12.0), beta(2.0, 1.0)]),
         }
     }
+}
 
-    fn tally(self, counts: &Counts) -> Tally {
-        match self {
-            Measure::Failures => Tally {
-                bad: counts.failures,
-                all: counts.judged(),
-            },
-            Measure::Slowness => Tally {
-                bad: counts.slow,
-                all: counts.answers,
-            },
+/// A sum of ratios since it was last zero, with the requests that it is made of.
+#[derive(Clone, Copy, Debug, Default)]
+struct Run {
+    sum: f64,
+    new: Tally,
+    old: Tally,
+}
+
+impl Run {
+    fn add(&mut self, ratio: f64, new: Tally, old: Tally) {
+        *self = Run {
+            sum: self.sum + ratio,
+            new: self.new.plus(new),
+            old: self.old.plus(old),
+        };
+        if self.sum <= 0.0 {
+            *self = Run::default();
         }
     }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Cusum {
-    /// Sum over comparable buckets.
-    compared: f64,
-    /// Sum over all buckets since a comparable one spoke for the new version.
-    any: f64,
-    new: Tally,
-    old: Tally,
+    /// Comparable groups only. Their requests are kept apart from those of other groups, in
+    /// which the new version met a burst and the old one had no traffic.
+    compared: Run,
+    /// All groups since a comparable one spoke for the new version.
+    any: Run,
 }
 
 impl Cusum {
     fn add(&mut self, ratio: f64, new: Tally, old: Tally, comparable: bool) {
-        self.new = self.new.plus(new);
-        self.old = self.old.plus(old);
-        self.any = (self.any + ratio).max(0.0);
-        if comparable {
-            self.compared = (self.compared + ratio).max(0.0);
-            if ratio <= 0.0 {
-                // Both versions do alike, so what was seen without comparison hit both.
-                self.any = 0.0;
-            }
+        self.any.add(ratio, new, old);
+        if !comparable {
+            return;
         }
-        if self.any == 0.0 && self.compared == 0.0 {
-            self.new = Tally::default();
-            self.old = Tally::default();
+        self.compared.add(ratio, new, old);
+        if ratio <= 0.0 {
+            // Both versions do alike, so what was seen without comparison hit both.
+            self.any = Run::default();
         }
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Outcome {
     Open,
     Good,
@@ -278,8 +286,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Trial {
     outcome: Outcome,
-    new: Tally,
-    old: Tally,
+    run: Run,
 }
 
 impl Trial {
@@ -287,8 +294,16 @@
         Finding {
             route,
             measure,
-            new: (self.new.bad, self.new.all),
-            old: (self.old.bad, self.old.all),
+            new: (self.run.new.bad, self.run.new.all),
+            old: (self.run.old.bad, self.run.old.all),
+            ratio: self.run.sum,
         }
     }
 }
+
+fn stronger(known: Option<Finding>, other: Finding) -> Option<Finding> {
+    match known {
+        Some(known) if known.ratio >= other.ratio => Some(known),
+        _ => Some(other),
+    }
+}
--- a/crates/ebonylug-moves/src/lib.rs
+++ b/crates/ebonylug-moves/src/lib.rs
@@ -48,10 +48,13 @@
 mod judge;
 mod likelihood;
 mod load;
+mod memo;
+mod probe;
 mod share;
 mod spec;
 mod state;
 mod status;
+mod strata;
 
 pub use action::{Actions, Capacity, MoveAction, StoreState};
 pub use counts::{Counts, Reference, Sample};
--- a/crates/ebonylug-moves/src/load.rs
+++ b/crates/ebonylug-moves/src/load.rs
@@ -61,6 +61,8 @@
     tokens: f64,
     filled: Option<SystemTime>,
     next: Option<SystemTime>,
+    /// When the loads of which ramp should have been ordered.
+    goal: Option<(SystemTime, SystemTime)>,
     targets: Vec<Slot>,
 }
 
@@ -80,6 +82,7 @@
             tokens: f64::from(rate.burst),
             filled: None,
             next: None,
+            goal: None,
             targets: Vec::new(),
         }
     }
@@ -112,8 +115,14 @@
         if missing == 0 || early || self.tokens < 1.0 {
             return None;
         }
-        let left = start.duration_since(now).unwrap_or_default();
-        let pace = left.mul_f64(SPREAD / missing as f64);
+        let left = self
+            .goal(now, start)
+            .duration_since(now)
+            .unwrap_or_default();
+        let pace = match missing {
+            1 => Duration::ZERO,
+            _ => left.div_f64(missing as f64),
+        };
         let slot = self.targets.iter_mut().find(|slot| waiting(slot))?;
         slot.ordered = Some(now);
         self.tokens -= 1.0;
@@ -130,6 +139,18 @@
         Some(slot.load.target.clone())
     }
 
+    fn goal(&mut self, now: SystemTime, start: SystemTime) -> SystemTime {
+        match self.goal {
+            Some((known, goal)) if known == start => goal,
+            _ => {
+                let left = start.duration_since(now).unwrap_or_default();
+                let goal = now + left.mul_f64(SPREAD);
+                self.goal = Some((start, goal));
+                goal
+            }
+        }
+    }
+
     fn refill(&mut self, now: SystemTime) {
         let since = self.filled.replace(now).unwrap_or(now);
         let gained = now.duration_since(since).unwrap_or_default();
--- a/crates/ebonylug-moves/src/state.rs
+++ b/crates/ebonylug-moves/src/state.rs
@@ -2,6 +2,8 @@
 
 use ebonylug_core::{Fence, Name};
 
+use crate::memo::Memo;
+use crate::probe::{Advice, Probe};
 use crate::spec::{CANARY, FIRST};
 use crate::{
     Actions, Capacity, Condition, Evidence, Finding, Judge, Judgement, LoadPlan, LoadRate, Measure,
@@ -11,17 +13,19 @@
 
 /// Part of the window until which the share stays at the canary share without evidence.
 const UNPROVEN_UNTIL: f64 = 0.4;
-/// Part of the window until which a suspicion without proof holds the share back.
-const SUSPECT_UNTIL: f64 = 0.8;
 /// Part of the window that a rise from 0 to 100 % takes at least, so that a share that was held
 /// back does not jump.
 const RISE: f64 = 0.2;
 /// Part of the window at which a share that was held back must be at 100 %.
 const CAUGHT_UP_AT: f64 = 0.9;
-/// Part of the window at which watching ends. The rest is for writing the status.
+/// Part of the window at which watching ends, and until which a suspicion without proof holds
+/// the share back. The rest is for writing the status.
 const DONE_AT: f64 = 0.95;
-/// The highest share of a suspect version: the old one gets as much to compare with.
-const PROBE: Share = Share::percent(50);
+/// The highest share of a suspect version. The old one gets enough to compare with, and the load
+/// of the new one stays so high that a fault under load does not vanish.
+const PROBE: Share = Share::percent(75);
+/// Share per second by which a version returns to a share that it had before a suspicion.
+const RETURN: f64 = 0.05;
 /// Time after which an unconfirmed status is written again.
 const WRITE_RETRY: Duration = Duration::from_secs(1);
 
@@ -37,8 +41,12 @@
 pub struct MoveState {
     spec: MoveSpec,
     judge: Judge,
+    memo: Memo,
+    probe: Probe,
     phase: Phase,
     share: Share,
+    /// The highest share so far.
+    reached: Share,
     proven: bool,
     conditions: Vec<Condition>,
     capacity: Capacity,
@@ -58,8 +66,11 @@
         MoveState {
             spec,
             judge: Judge::default(),
+            memo: Memo::default(),
+            probe: Probe::default(),
             phase: Phase::Pending,
             share: Share::ZERO,
+            reached: Share::ZERO,
             proven: false,
             conditions: Vec::new(),
             capacity: Capacity {
@@ -230,14 +241,24 @@
         if self.phase == Phase::Pending && !self.begin(now) {
             return;
         }
-        let judgement = self.judge.judge(&self.spec, evidence, now);
+        let judgement = self.compare(now, evidence);
         if let Judgement::Bad(finding) = &judgement {
             self.cut_by(now, finding);
             return;
         }
-        let permitted = self.permitted(now, progress, &judgement);
+        let high = self.share > PROBE;
+        let advice = self.probe.note(now, &judgement, high, &self.spec, evidence);
+        if let Advice::Bad(finding) = &advice {
+            self.cut(now, MoveReason::UnderLoad, &finding.to_string());
+            return;
+        }
+        let mut permitted = self.permitted(now, progress, &judgement);
+        if advice == Advice::Hold && progress < DONE_AT {
+            permitted = permitted.min(self.share.min(PROBE).max(FIRST));
+        }
         let wanted = scheduled_share(&self.spec, now).min(permitted);
         self.share = wanted.min(self.rise(now, progress)).min(self.bearable(now));
+        self.reached = self.reached.max(self.share);
         self.progress(now, progress);
     }
 
@@ -246,11 +267,16 @@
         if now >= self.spec.deadline {
             return;
         }
-        if let Judgement::Bad(finding) = self.judge.judge(&self.spec, evidence, now) {
+        if let Judgement::Bad(finding) = self.compare(now, evidence) {
             self.cut_by(now, &finding);
         }
     }
 
+    fn compare(&mut self, now: SystemTime, evidence: &Evidence) -> Judgement {
+        let judge = self.judge;
+        judge.judge_with(&mut self.memo, &self.spec, evidence, now)
+    }
+
     fn begin(&mut self, now: SystemTime) -> bool {
         if let Err(error) = self.spec.validate() {
             self.refuse(now, MoveReason::Invalid, &error.to_string());
@@ -275,9 +301,6 @@
         }
         if let Judgement::Suspect(finding) = judgement {
             self.note(now, MoveReason::Suspect, &finding.to_string());
-            if progress < SUSPECT_UNTIL || self.phase == Phase::Watching {
-                return self.share.min(PROBE).max(FIRST);
-            }
         }
         if self.proven {
             return Share::FULL;
@@ -306,7 +329,8 @@
         };
         // At least one step, so that short intervals between ticks do not round down to nothing.
         let step = (passed * pace).max(1e-4);
-        Share::from_fraction(share + step).max(FIRST)
+        let again = (share + passed * window * RETURN).min(self.reached.fraction());
+        Share::from_fraction(again.max(share + step)).max(FIRST)
     }
 
     fn bearable(&mut self, now: SystemTime) -> Share {
--- a/crates/ebonylug-moves/src/status.rs
+++ b/crates/ebonylug-moves/src/status.rs
@@ -59,6 +59,8 @@
     Failures,
     /// The new version answers more slowly than the old one.
     Slowness,
+    /// The new version becomes worse again and again at a high share.
+    UnderLoad,
     /// Another process has found the new version bad.
     PeerReport,
     /// An operator has stopped the move.
--- /dev/null
+++ b/crates/ebonylug-moves/tests/evidence.rs
@@ -0,0 +1,179 @@
+//! Evidence against a naive map of all records.
+#![allow(missing_docs)]
+
+use std::collections::BTreeMap;
+use std::time::{Duration, SystemTime};
+
+use ebonylug_core::{Incarnation, Name};
+use ebonylug_moves::{Bucket, Counts, Evidence, MAX_CELLS, MAX_SERIES, Reference, Sample};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const PROCESSES: u64 = 3;
+
+/// A request at a process, or a message of all that one process knows to another.
+#[derive(Clone, Debug)]
+enum Op {
+    Record(u64, bool, bool, u64, Sample),
+    /// Sender, receiver, and whether the message waits and arrives after later ones.
+    Send(usize, usize, bool),
+    Wire(usize),
+}
+
+fn sample() -> impl Strategy<Value = Sample> {
+    (any::<[bool; 4]>(), 0..5_000u64).prop_map(|([answered, slow, cold, overload], ms)| {
+        let sample = if answered {
+            Sample::answered()
+        } else {
+            Sample::failed()
+        };
+        let reference = slow.then_some(Reference {
+            first: Duration::from_millis(1),
+            token: Duration::from_millis(1),
+        });
+        let first = Duration::from_millis(ms);
+        sample
+            .timed(first, None, reference)
+            .cold(cold)
+            .overload(overload)
+    })
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let n = PROCESSES as usize;
+    prop_oneof![
+        6 => (0..PROCESSES, any::<bool>(), any::<bool>(), 0..60u64, sample())
+            .prop_map(|(p, v, r, t, s)| Op::Record(p, v, r, t, s)),
+        3 => (0..n, 0..n, any::<bool>()).prop_map(|(a, b, late)| Op::Send(a, b, late)),
+        1 => (0..n).prop_map(Op::Wire),
+    ]
+}
+
+type Records = BTreeMap<(bool, bool, u64), Vec<Sample>>;
+
+fn time(seconds: u64) -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_secs(1_000 + seconds)
+}
+
+fn version(new: bool) -> Name {
+    if new { "v2".into() } else { "v1".into() }
+}
+
+fn route(other: bool) -> Name {
+    if other {
+        "summaries".into()
+    } else {
+        "quotations".into()
+    }
+}
+
+fn check(ops: Vec<Op>) -> Result<(), TestCaseError> {
+    let mut known = vec![Evidence::default(); PROCESSES as usize];
+    let mut late: Vec<(usize, Evidence)> = Vec::new();
+    let mut records = Records::new();
+    for op in ops {
+        match op {
+            Op::Record(process, v, r, t, sample) => {
+                let id = Incarnation(process);
+                known[process as usize].record(time(t), id, version(v), route(r), sample);
+                records
+                    .entry((v, r, Bucket::of(time(t)).0))
+                    .or_default()
+                    .push(sample);
+            }
+            Op::Send(from, to, true) => late.push((to, known[from].clone())),
+            Op::Send(from, to, false) => {
+                let message = known[from].clone();
+                known[to].merge(&message);
+                known[to].merge(&message);
+            }
+            Op::Wire(at) => {
+                let text = serde_json::to_string(&known[at]).expect("evidence is JSON");
+                let read: Evidence = serde_json::from_str(&text).expect("reads its own JSON");
+                prop_assert_eq!(&read, &known[at]);
+                known[at] = read;
+            }
+        }
+    }
+    for (to, message) in late.into_iter().rev() {
+        known[to].merge(&message);
+    }
+    // In whatever order they are merged, all messages together give the sum of all records.
+    let mut forward = Evidence::default();
+    known.iter().for_each(|part| forward.merge(part));
+    let mut backward = Evidence::default();
+    known
+        .iter()
+        .rev()
+        .for_each(|part| backward.merge(&part.since(Bucket(0), None)));
+    prop_assert_eq!(&forward, &backward);
+    for ((v, r, bucket), samples) in &records {
+        let mut naive = Counts::default();
+        samples.iter().for_each(|sample| naive.add(*sample));
+        let total = forward.total(&version(*v), &route(*r), Bucket(*bucket));
+        prop_assert_eq!(total, naive);
+    }
+    let cells: usize = [(false, false), (false, true), (true, false), (true, true)]
+        .iter()
+        .map(|(v, r)| forward.totals(&version(*v), &route(*r), Bucket(0)).count())
+        .sum();
+    prop_assert_eq!(cells, records.len());
+    Ok(())
+}
+
+/// Guards against counts that depend on repeats, losses or the order of messages.
+#[test]
+fn merging_equals_counting_all_records() {
+    let config = Config {
+        cases: 300,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let ops = proptest::collection::vec(op(), 1..80);
+    runner
+        .run(&ops, check)
+        .expect("evidence agrees with the records");
+}
+
+/// Guards against cold targets that count against their version, and against a cold target
+/// whose failures are never counted.
+#[test]
+fn cold_answers_say_nothing() {
+    let table = [
+        (Sample::answered(), [1, 0, 0, 0]),
+        (Sample::answered().slow(true), [1, 0, 1, 0]),
+        (Sample::failed(), [0, 1, 0, 0]),
+        (Sample::failed().overload(true), [0, 1, 0, 0]),
+        (Sample::answered().slow(true).cold(true), [0, 0, 0, 1]),
+        (Sample::failed().overload(true).cold(true), [0, 0, 0, 1]),
+        (Sample::failed().cold(true), [0, 1, 0, 0]),
+    ];
+    for (sample, expected) in table {
+        let mut counts = Counts::default();
+        counts.add(sample);
+        let found = [counts.answers, counts.failures, counts.slow, counts.cold];
+        assert_eq!(found, expected, "{sample:?}");
+    }
+}
+
+/// Guards against growth without bound, and against totals that keep what was dropped.
+#[test]
+fn evidence_is_bounded() {
+    let mut evidence = Evidence::default();
+    let cells = MAX_CELLS as u64;
+    for n in 0..2 * cells {
+        evidence.record(time(2 * n), Incarnation(1), "v1", "r", Sample::answered());
+    }
+    assert_eq!(evidence.size(), (1, MAX_CELLS));
+    let totals = evidence.totals(&"v1".into(), &"r".into(), Bucket(0));
+    assert_eq!(totals.map(|(_, counts)| counts.answers).sum::<u64>(), cells);
+    for n in 0..2 * MAX_SERIES as u64 {
+        let now = time(4 * cells + 2 * n);
+        evidence.record(now, Incarnation(100 + n), "v1", "r", Sample::answered());
+    }
+    assert_eq!(evidence.size(), (MAX_SERIES, MAX_SERIES));
+    let totals = evidence.totals(&"v1".into(), &"r".into(), Bucket(0));
+    assert_eq!(totals.count(), MAX_SERIES);
+}
