--- a/crates/ebonylug-zones/src/map.rs
+++ b/crates/ebonylug-zones/src/map.rs
@@ -1,5 +1,5 @@
 use std::collections::{BTreeMap, HashMap};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use ebonylug_core::{Class, Name, Revision};
 use smallvec::SmallVec;
@@ -40,10 +40,17 @@
     last: Instant,
 }
 
+/// Time after which a silent target says nothing about what happens to its zone now.
+const RECENT: Duration = Duration::from_secs(5);
+/// Targets that may miss a report at the same time by chance.
+const FEW: usize = 2;
+
 /// Silent and all targets of a zone.
 #[derive(Clone, Copy, Debug, Default)]
 struct Census {
     silent: usize,
+    /// Targets that were heard within [`RECENT`].
+    recent: usize,
     all: usize,
 }
 
@@ -204,10 +211,12 @@
             count.all += 1;
             let silence = now.saturating_duration_since(contact.last);
             count.silent += usize::from(silence > self.settings.silent);
+            count.recent += usize::from(silence <= RECENT);
         }
         for (zone, count) in &mut census {
-            if count.all == 1 && count.silent == 1 && !self.is_long_silent(zone, now) {
-                count.silent = 0;
+            let few = count.recent <= FEW && count.silent == count.all;
+            if few && !self.is_long_silent(zone, now) {
+                count.silent -= 1;
             }
         }
         census
--- a/crates/ebonylug-zones/src/settings.rs
+++ b/crates/ebonylug-zones/src/settings.rs
@@ -14,8 +14,8 @@
     /// Time after which a target that was not heard counts as silent. Targets report at least
     /// every second, so that one report may come half a second late.
     pub silent: Duration,
-    /// Time after which the only target of a zone counts as silent. It is longer, since a lost
-    /// report of one target is common.
+    /// Time after which the targets of a zone count as silent if only one or two were heard lately. It is
+    /// longer, since one lost report is common and would darken the zone.
     pub alone: Duration,
     /// Part of a zone's targets that must be silent for the zone to be dark.
     pub dark: f64,
