--- a/crates/ebonylug-membership/src/member.rs
+++ b/crates/ebonylug-membership/src/member.rs
@@ -48,7 +48,7 @@
 }
 
 /// Former incarnations that are remembered, so that their delayed messages are recognised.
-const MAX_PAST: usize = 8;
+pub(crate) const MAX_PAST: usize = 8;
 
 /// One instance, as this process knows it.
 #[derive(Clone, Debug)]
@@ -82,14 +82,12 @@
         }
     }
 
-    /// Takes over what is remembered of an instance that was unknown. The last incarnation that
-    /// has left counts as present, until another one is heard.
-    pub(crate) fn resume(&mut self, mut past: SmallVec<[Incarnation; 2]>) {
-        if let Some(last) = past.pop() {
-            self.incarnation = Some(last);
-            self.left = true;
-        }
+    /// Takes over what is remembered of an instance that was unknown. The incarnation that has
+    /// left counts as present, until another one is heard.
+    pub(crate) fn resume(&mut self, past: SmallVec<[Incarnation; 2]>, left: Option<Incarnation>) {
         self.past = past;
+        self.incarnation = left;
+        self.left = left.is_some();
     }
 
     /// Returns the row with the zone, the target and the addresses.
--- a/crates/ebonylug-membership/src/membership.rs
+++ b/crates/ebonylug-membership/src/membership.rs
@@ -5,6 +5,7 @@
 use ebonylug_platform::InstanceRow;
 use smallvec::SmallVec;
 
+use crate::member::MAX_PAST;
 use crate::{MAX_MEMBERS, Member, MemberReason, MemberState, Settings};
 
 /// What [`Membership::tick`] has changed, by instance.
@@ -37,7 +38,10 @@
 
 #[derive(Clone, Debug)]
 struct Notice {
+    /// Former incarnations.
     past: SmallVec<[Incarnation; 2]>,
+    /// The last incarnation, if it has left.
+    left: Option<Incarnation>,
     time: Instant,
 }
 
@@ -83,7 +87,7 @@
         row: Option<&InstanceRow>,
     ) -> bool {
         let notice = self.notices.get(instance);
-        if notice.is_some_and(|notice| notice.past.contains(&incarnation)) {
+        if notice.is_some_and(|notice| notice.is_over(incarnation)) {
             return false;
         }
         match self.know(now, instance, row) {
@@ -98,7 +102,13 @@
             member.leave(incarnation);
             return;
         }
-        self.keep_notice(now, instance, &[incarnation]);
+        let mut past = SmallVec::new();
+        if let Some(notice) = self.notices.remove(instance) {
+            past = notice.past;
+            past.extend(notice.left.filter(|left| *left != incarnation));
+        }
+        past.retain(|life| *life != incarnation);
+        self.keep_notice(now, instance, past, Some(incarnation));
     }
 
     /// Removes instances that are gone, and returns what has changed since the last call.
@@ -187,7 +197,7 @@
             }
             let mut member = Member::new(now, row.clone());
             if let Some(notice) = self.notices.remove(instance) {
-                member.resume(notice.past);
+                member.resume(notice.past, notice.left);
             }
             self.members.insert(instance.clone(), member);
         }
@@ -198,34 +208,39 @@
         let Some(member) = self.members.remove(instance) else {
             return;
         };
-        let mut past = member.past;
-        if member.left {
-            past.extend(member.incarnation);
-        }
-        if !past.is_empty() {
-            self.keep_notice(now, instance, &past);
+        let left = member.incarnation.filter(|_| member.left);
+        if left.is_some() || !member.past.is_empty() {
+            self.keep_notice(now, instance, member.past, left);
         }
     }
 
-    fn keep_notice(&mut self, now: Instant, instance: &Name, past: &[Incarnation]) {
-        if !self.notices.contains_key(instance) && self.notices.len() >= MAX_MEMBERS {
+    fn keep_notice(
+        &mut self,
+        now: Instant,
+        instance: &Name,
+        mut past: SmallVec<[Incarnation; 2]>,
+        left: Option<Incarnation>,
+    ) {
+        if self.notices.len() >= MAX_MEMBERS {
             let oldest = self.notices.iter().min_by_key(|(_, notice)| notice.time);
             if let Some(name) = oldest.map(|(name, _)| name.clone()) {
                 self.notices.remove(&name);
             }
         }
-        let notice = self
-            .notices
-            .entry(instance.clone())
-            .or_insert_with(|| Notice {
-                past: SmallVec::new(),
-                time: now,
-            });
-        notice.time = now;
-        for incarnation in past {
-            if !notice.past.contains(incarnation) && notice.past.len() < 8 {
-                notice.past.push(*incarnation);
-            }
+        if past.len() > MAX_PAST {
+            past.remove(0);
         }
+        let notice = Notice {
+            past,
+            left,
+            time: now,
+        };
+        self.notices.insert(instance.clone(), notice);
+    }
+}
+
+impl Notice {
+    fn is_over(&self, incarnation: Incarnation) -> bool {
+        self.left == Some(incarnation) || self.past.contains(&incarnation)
     }
 }
