Treat the silence of a sidecar about an old call as unknown

Cause: a sidecar forgets ended attempts after its retention period (120 s); a repeat of a call whose entry had died before it completed the record would then be told 'not seen', revoke the attempt and run the call a second time (found by reading). Change: beyond 60 s after the record was written, 'not seen' and 'not run' settle the call as unknown. Measured: the new test fails without the horizon (the repeat waits and revokes).

--- a/crates/ebonylug-idempotency/src/call.rs
+++ b/crates/ebonylug-idempotency/src/call.rs
@@ -13,6 +13,10 @@
 /// Longer than the way from the store through the entry to the target.
 const GRACE: Duration = Duration::from_millis(500);
 
+/// Age of a record after which "not seen" proves nothing. Sidecars remember ended attempts for at
+/// least 120 s; the rest is for the wall clocks of two entries to differ.
+const HORIZON: Duration = Duration::from_secs(60);
+
 /// Tries to record an outcome that the caller has been told already.
 const RECORD_TRIES: u32 = 5;
 
@@ -416,6 +420,10 @@
             Joined::Answered(answer) => self.answered(now, answer),
             // It ran, but its answer is nowhere any more.
             Joined::NotSeen | Joined::Unknown if ran => self.finish(Verdict::Unknown),
+            // The sidecar may have forgotten that it ran.
+            Joined::NotSeen if self.is_old(now) => {
+                self.record(now, State::Unknown, Purpose::Settle(Verdict::Unknown))
+            }
             Joined::NotSeen if self.graced => smallvec![Action::Revoke(attempt)],
             Joined::NotSeen => {
                 self.graced = true;
@@ -434,6 +442,9 @@
         let (_, record) = self.known.as_ref().expect("a revoked attempt has a record");
         let attempt = (record.attempt, record.place.clone());
         match revoked {
+            Some(Revoked::NotRun) if self.is_old(now) => {
+                self.record(now, State::Unknown, Purpose::Settle(Verdict::Unknown))
+            }
             Some(Revoked::NotRun) => smallvec![Action::Choose],
             Some(Revoked::Running | Revoked::Finished) if now < self.request.deadline => {
                 self.wait(RETRY, Action::Join(attempt))
@@ -446,6 +457,13 @@
         }
     }
 
+    /// Reports whether the target's sidecar may have forgotten the attempt of the record.
+    fn is_old(&self, now: Instant) -> bool {
+        let changed = self.known.as_ref().map_or(0, |(_, record)| record.changed);
+        let age = self.wall_millis(now).saturating_sub(changed);
+        Duration::from_millis(age) > HORIZON
+    }
+
     fn wall_millis(&self, now: Instant) -> u64 {
         let (began, wall) = self.began;
         let since = (wall + (now - began)).duration_since(SystemTime::UNIX_EPOCH);
--- /dev/null
+++ b/crates/ebonylug-idempotency/tests/horizon.rs
@@ -0,0 +1,67 @@
+//! A record that is older than the memory of its sidecar.
+
+use std::time::{Duration, Instant, SystemTime};
+
+use ebonylug_core::{Incarnation, Name, RequestId};
+use ebonylug_idempotency::{
+    Action, CallKey, Event, Joined, KeyedCall, KeyedRequest, Place, Record, RequestHash, State,
+    Verdict,
+};
+use ebonylug_platform::{Committed, Error, Row};
+
+fn place() -> Place {
+    Place {
+        target: Name::new("orders-1"),
+        incarnation: Incarnation(7),
+    }
+}
+
+fn request(id: u128, now: Instant) -> KeyedRequest {
+    KeyedRequest {
+        key: CallKey::new(&Name::new("mill"), "order-17"),
+        content: RequestHash::of("POST", "/orders", b"{}"),
+        id: RequestId(id),
+        deadline: now + Duration::from_secs(30),
+    }
+}
+
+/// Returns what a repeat does when the sidecar does not know the attempt of a record of this age.
+fn actions_at(age: Duration) -> Vec<Action> {
+    let now = Instant::now();
+    let wall = SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000);
+    let (_, first) = KeyedCall::start(request(1, now), place(), now, wall);
+    let [Action::Write(transaction)] = &first[..] else {
+        panic!("the record is written first: {first:?}");
+    };
+    let write = &transaction.writes[0];
+    let row = Row {
+        key: write.key.clone(),
+        version: 1,
+        value: write.value.clone().expect("the record has a value"),
+    };
+    let record: Record = serde_json::from_str(&row.value).expect("the record is JSON");
+    assert_eq!(record.state, State::Reserved);
+
+    let (mut repeat, _) = KeyedCall::start(request(2, now), place(), now, wall + age);
+    let conflict = Error::Conflict {
+        key: row.key.clone(),
+    };
+    repeat.handle(now, Event::Written(Err(conflict)));
+    repeat.handle(now, Event::Read(Ok(Some(row))));
+    let actions = repeat.handle(now, Event::Joined(Joined::NotSeen));
+    if let [Action::Write(_)] = &actions[..] {
+        let written = Event::Written(Ok(Committed { version: 2 }));
+        return repeat.handle(now, written).into_vec();
+    }
+    actions.into_vec()
+}
+
+/// Guards against a second run (P8): a sidecar forgets ended attempts, so that its "not seen" of an
+/// old one proves nothing. Without the horizon, the repeat would revoke it and run the call again.
+#[test]
+fn an_old_record_is_unknown_and_not_run_again() {
+    let young = actions_at(Duration::from_secs(30));
+    assert!(matches!(young[..], [Action::Wait(_)]), "{young:?}");
+    let old = actions_at(Duration::from_secs(61));
+    assert_eq!(old, [Action::Finish(Verdict::Unknown)]);
+}
