--- a/crates/ebonylug-measure/src/soak.rs
+++ b/crates/ebonylug-measure/src/soak.rs
@@ -174,7 +174,7 @@
         "refusals that ran",
         "told twice",
         "unplanned crashes",
-        "cases with cold excess > 1",
+        "cold excess > 1, also by silent cold",
     ];
     for (place, name) in names.into_iter().enumerate() {
         let cell = |policy: usize| sums[policy][place].to_string();
