--- a/crates/ebonylug-measure/src/rollout/zones.rs
+++ b/crates/ebonylug-measure/src/rollout/zones.rs
@@ -39,7 +39,8 @@
 pub struct Figures {
     /// Dispatches into the zone by second since it was lost; the last counts all later ones.
     pub into: [u64; 8],
-    /// Goodput of the most urgent route.
+    /// Goodput of the most urgent route, of what was offered: the urgent load fits into the zones
+    /// that remain.
     pub urgent: f64,
     /// Goodput of all batch routes.
     pub batch: f64,
