Test an answer that is preempted twice

Cause: the fault of tokens that were counted twice had no test of its own. Change: a deployment whose sidecar bears one stream; two long prompts preempt a batch stream that has begun, and the whole answer must arrive.

--- a/crates/ebonylug-demo/src/deployment.rs
+++ b/crates/ebonylug-demo/src/deployment.rs
@@ -53,6 +53,8 @@
     pub entries: usize,
     /// The settings of an engine, by the name of its target.
     pub engine: fn(&Name) -> EngineSettings,
+    /// Changes the settings of each sidecar.
+    pub sidecar: fn(&mut ebonylug_sidecar::Settings),
     /// The seed of all random numbers.
     pub seed: u64,
 }
@@ -86,7 +88,7 @@
             let model = version.map_or("", |version| version.spec.serves.as_str());
             let fake = fake(&plan, target.name(), &target.spec, model)?;
             let seed = plan.seed.wrapping_add(index as u64 + 1);
-            let node = node(target.name(), &target.spec, fake, seed).await?;
+            let node = node(&plan, target.name(), &target.spec, fake, seed).await?;
             nodes.insert(target.name().clone(), node);
         }
         let mut deployment = Deployment {
@@ -205,12 +207,18 @@
     })
 }
 
-async fn node(name: &Name, target: &TargetSpec, fake: Fake, seed: u64) -> Result<Node> {
+async fn node(
+    plan: &Plan<'_>,
+    name: &Name,
+    target: &TargetSpec,
+    fake: Fake,
+    seed: u64,
+) -> Result<Node> {
     let (address, kind) = match &fake {
         Fake::Engine(engine) => (engine.addr, Kind::Model),
         Fake::Service(service) => (service.addr, Kind::Service),
     };
-    let settings = ebonylug_sidecar::Settings {
+    let mut settings = ebonylug_sidecar::Settings {
         instance: Name::new(&format!("i-{name}")),
         zone: target.zone.clone(),
         target: name.clone(),
@@ -233,6 +241,7 @@
         bound: Duration::from_secs(30),
         workers: 1,
     };
+    (plan.sidecar)(&mut settings);
     let instance = settings.instance.clone();
     let sidecar = Sidecar::start(settings, clock(), seed).await?;
     let row = InstanceRow {
--- a/crates/ebonylug-demo/src/story.rs
+++ b/crates/ebonylug-demo/src/story.rs
@@ -58,6 +58,7 @@
         resources: FIBRAS,
         entries: 2,
         engine,
+        sidecar: |_| {},
         seed: 1,
     })
     .await?;
@@ -123,6 +124,7 @@
         resources: SCALEWARD,
         entries: 2,
         engine,
+        sidecar: |_| {},
         seed: 2,
     })
     .await?;
--- a/crates/ebonylug-demo/tests/common/mod.rs
+++ b/crates/ebonylug-demo/tests/common/mod.rs
@@ -33,6 +33,7 @@
         resources: SMALL,
         entries: 2,
         engine,
+        sidecar: |_| {},
         seed: 1,
     };
     Deployment::start(plan)
--- a/crates/ebonylug-demo/tests/failures.rs
+++ b/crates/ebonylug-demo/tests/failures.rs
@@ -8,7 +8,7 @@
 
 use common::{SMALL, caller, engine_of, get, operator, reason, small, small_with, until};
 use ebonylug_core::Name;
-use ebonylug_demo::{Plan, Relay};
+use ebonylug_demo::{Caller, Deployment, Plan, Relay};
 use ebonylug_standin::{ChatRequest, EngineFaults, EngineSettings, PlatformFaults, Runs, Silence};
 use http::{Method, StatusCode};
 
@@ -468,7 +468,77 @@
         resources: SMALL,
         entries: 2,
         engine: common::engine,
+        sidecar: |_| {},
         seed: 1,
     };
     assert!(ebonylug_resource::parse_resources(plan.resources).is_ok());
 }
+
+/// Guards against an answer that skips or repeats tokens after it was preempted twice: the tail of
+/// a sidecar counts all tokens of the request, and the entry once added them to those of earlier
+/// attempts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_is_preempted_twice_is_whole() {
+    /// Fits the stream, and not a long prompt beside it.
+    const LIMIT: u64 = 400;
+    let plan = Plan {
+        resources: SMALL,
+        entries: 1,
+        engine: common::engine,
+        sidecar: |settings| {
+            settings.cold_limit = settings.cold_limit.min(LIMIT);
+            settings.ceiling = settings.ceiling.min(LIMIT);
+        },
+        seed: 1,
+    };
+    let mut deployment = Deployment::start(plan)
+        .await
+        .expect("the deployment starts");
+    // A single engine, so that the stream and the requests that preempt it meet there.
+    deployment.nodes.remove("sisal-2");
+    deployment.list();
+    let caller = caller(&deployment, 0);
+    let operator = operator(&deployment, 0);
+    let urgent = async |number: usize| {
+        let prompt = format!("{number}: urgent");
+        let answer = caller.chat("sisal", "quotation", &prompt, 4, false).await;
+        assert_eq!(answer.expect("an answer arrives").status, StatusCode::OK);
+    };
+    until("the target is warm", async || {
+        urgent(0).await;
+        reason(&operator, "resources/targets/sisal-1").await == "Ready"
+    })
+    .await;
+    let first_tokens = async || {
+        let events = get(&operator, "events").await.to_string();
+        events.matches("\"first_token\"").count()
+    };
+    let before = first_tokens().await;
+    let batch = Caller::new(deployment.entry(0), "molino-demo-token");
+    let call = tokio::spawn(async move { batch.chat("sisal", "summary", PROMPT, 900, true).await });
+    let resumed = || -> u64 {
+        engine_of(&deployment, "sisal-1")
+            .runs()
+            .resumed
+            .values()
+            .sum()
+    };
+    for round in 0..2 {
+        // Each earlier round has added the first tokens of its request and of the stream.
+        let expected = before + 2 * round + 1;
+        until("the stream has begun", async || {
+            first_tokens().await >= expected
+        })
+        .await;
+        let other = Caller::new(deployment.entry(0), "puertos-demo-token");
+        let prompt = format!("{round}: make room {}", "by the quay ".repeat(123));
+        let answer = other.chat("sisal", "quotation", &prompt, 20, false).await;
+        assert_eq!(answer.expect("an answer arrives").status, StatusCode::OK);
+    }
+    let answer = call
+        .await
+        .expect("the caller runs")
+        .expect("an answer arrives");
+    assert!(resumed() >= 2, "the stream was preempted twice");
+    assert_eq!(streamed(&answer.text()), words(PROMPT, 900));
+}
--- a/crates/ebonylug-demo/tests/path.rs
+++ b/crates/ebonylug-demo/tests/path.rs
@@ -16,6 +16,7 @@
         resources: FIBRAS,
         entries: 2,
         engine: |_| engine(),
+        sidecar: |_| {},
         seed: 1,
     };
     Deployment::start(plan)
--- a/crates/ebonylugctl/tests/resources.rs
+++ b/crates/ebonylugctl/tests/resources.rs
@@ -14,6 +14,7 @@
         resources: FIBRAS,
         entries: 2,
         engine: |_| EngineSettings::default(),
+        sidecar: |_| {},
         seed: 1,
     };
     Deployment::start(plan)
