measure: size control messages as encoded, and state the capacity in two years

Cause: `capacity` took control messages as JSON with one assumed envelope, left out the request of a report, crash logs and the instance list, and assumed gossip of all evidence. Existing bounds stay. Not measured: processor time of calls, whole processes in memory, any run at that size.

--- a/crates/ebonylug-measure/src/capacity.rs
+++ b/crates/ebonylug-measure/src/capacity.rs
@@ -9,12 +9,15 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant, SystemTime};
 
+use bincode::Options;
 use ebonylug_admission::{Admission, CrashId, CrashLog};
 use ebonylug_core::{
     AttemptId, End, Fingerprint, Gate, Incarnation, LoadReport, Name, Offer, Outcome, Repeat,
     RequestId, Revision, Tier, Tokens,
 };
+use ebonylug_membership::subset;
 use ebonylug_moves::{Bucket, Evidence, Sample};
+use ebonylug_platform::{InstanceRow, InstanceState};
 use ebonylug_routing::{
     Action, OrganisationKey, Request, RouteKey, Router, Settings, TargetInfo, TargetKey, TargetKind,
 };
@@ -26,6 +29,8 @@
 pub const TARGETS: [usize; 4] = [40, 100, 300, 600];
 /// Numbers of organisations.
 const ORGANISATIONS: [usize; 4] = [100, 1_000, 3_000, 6_400];
+/// Numbers of rows of the instance list, the last for 410 entries and 600 sidecars.
+const ROWS: [usize; 4] = [40, 200, 600, 1_010];
 /// Numbers of queued requests.
 const QUEUED: [usize; 4] = [1_000, 4_000, 16_000, 64_000];
 /// Numbers of attempts inside one target.
@@ -42,10 +47,29 @@
 const FLEET: (f64, f64) = (410.0, 600.0);
 /// Targets that one entry keeps in contact with.
 const SUBSET: f64 = 40.0;
-/// Exchanges of an entry with its peers: two each half second, and as many that others begin.
+/// Exchanges of an entry with its peers per second: two each half second, and as many that others
+/// begin.
 const EXCHANGES: f64 = 8.0;
-/// Bytes of the call around a message, of TCP and of IP. Assumed, not measured.
-const ENVELOPE: f64 = 200.0;
+/// Bytes of a tarpc request around its arguments, at most: length 4, kind 1, deadline 6, trace 26,
+/// call number 5, method 1. Counted from the fields, not measured.
+const REQUEST: f64 = 43.0;
+/// Bytes of a tarpc response around its value, at most: length 4, call number 5, success 1,
+/// method 1. Counted from the fields, not measured.
+const RESPONSE: f64 = 11.0;
+/// Bytes of an IPv4 header (20) and a TCP header with time stamps (32). IPv6 has 20 more.
+const SEGMENT: f64 = 52.0;
+/// Payload of a segment on Ethernet.
+const SEGMENT_PAYLOAD: f64 = 1_448.0;
+/// Acknowledgements without data in a call. The request is acknowledged alone because a sidecar
+/// holds a report back, and the response because the next request follows after 50 ms, later than
+/// the usual 40 ms of delayed acknowledgements.
+const ACKNOWLEDGEMENTS: f64 = 2.0;
+/// The most reports of a target in a second: the entry pauses for 50 ms between two.
+const MAX_REPORTS: f64 = 20.0;
+/// Seconds between two reads of the instance list by an entry.
+const LIST_INTERVAL: f64 = 2.0;
+/// Crashes that a crash log keeps.
+const MAX_CRASHES: u64 = 64;
 
 /// A straight line through figures at several sizes.
 #[derive(Clone, Debug, Serialize)]
@@ -67,7 +91,7 @@
 pub struct Report {
     /// The slopes.
     pub slopes: Vec<Slope>,
-    /// Sizes of messages as JSON in bytes.
+    /// Sizes of messages in bytes.
     pub messages: Vec<(String, f64)>,
     /// Control traffic for each node at 410 × 600 in bytes per second.
     pub traffic: Vec<(String, f64)>,
@@ -115,6 +139,11 @@
         slope("memory, KiB, by queued requests", &QUEUED, |n| {
             memory(100, 100, n)
         }),
+        slope(
+            "admission memory, KiB, by streams",
+            &STREAMS,
+            admission_memory,
+        ),
     ]
 }
 
@@ -136,13 +165,22 @@
         slope("admission decision, us, by streams", &STREAMS, |n| {
             least(|| admission(n))
         }),
+        slope("progress of an attempt, us, by streams", &STREAMS, |n| {
+            least(|| progress(n))
+        }),
     ];
     slopes.extend(memory);
     // Above 170 entries the bound on series drops the oldest.
     let sizes = [10, 40, 100, 160];
-    slopes.push(slope("evidence, bytes as JSON, by entries", &sizes, |n| {
+    slopes.push(slope("evidence, bytes, by entries", &sizes, |n| {
         size(&evidence(n, 30))
     }));
+    slopes.push(slope("instance list, bytes as JSON, by rows", &ROWS, |n| {
+        size_json(&instances(n))
+    }));
+    slopes.push(slope("subset of 40, us, by targets", &TARGETS, |n| {
+        least(|| choice(n))
+    }));
     let messages = messages();
     let traffic = traffic(reports);
     Report {
@@ -293,17 +331,9 @@
 /// Returns the mean time in microseconds of an attempt at a sidecar: offer, first token, end.
 fn admission(streams: usize) -> f64 {
     let start = Instant::now();
-    let settings = ebonylug_admission::Settings::model(Incarnation(1))
-        .cold_limit(Tokens(COST * streams as u64 * 4))
-        .cold_streams(streams as u32 * 4);
-    let mut admission = Admission::new(settings, start);
-    admission.target_up(start);
+    let mut admission = admitted(streams, start);
     let mut now = start;
-    let mut next = 0_u64;
-    for _ in 0..streams {
-        next += 1;
-        black_box(admission.offer(now, offer(next)));
-    }
+    let mut next = streams as u64;
     let clock = Instant::now();
     for _ in 0..DECISIONS {
         now += Duration::from_millis(2);
@@ -316,6 +346,41 @@
     clock.elapsed().as_secs_f64() * 1e6 / DECISIONS as f64
 }
 
+/// Returns the mean time in microseconds to note a part of an answer at a sidecar.
+fn progress(streams: usize) -> f64 {
+    let start = Instant::now();
+    let mut admission = admitted(streams, start);
+    let clock = Instant::now();
+    for turn in 0..DECISIONS {
+        let attempt = attempt(1 + (turn % streams) as u64);
+        admission.progress(start, attempt, Tokens(1));
+    }
+    clock.elapsed().as_secs_f64() * 1e6 / DECISIONS as f64
+}
+
+/// A sidecar's admission with this many attempts offered.
+fn admitted(streams: usize, start: Instant) -> Admission {
+    let settings = ebonylug_admission::Settings::model(Incarnation(1))
+        .cold_limit(Tokens(COST * streams as u64 * 4))
+        .cold_streams(streams as u32 * 4);
+    let mut admission = Admission::new(settings, start);
+    admission.target_up(start);
+    for number in 1..=streams as u64 {
+        black_box(admission.offer(start, offer(number)));
+    }
+    admission
+}
+
+/// Returns the growth of the resident size in KiB by a sidecar's admission, without answers.
+fn admission_memory(streams: usize) -> f64 {
+    const COPIES: usize = 64;
+    let (before, start) = (resident(), Instant::now());
+    let kept: Vec<Admission> = (0..COPIES).map(|_| admitted(streams, start)).collect();
+    let after = resident();
+    std::mem::forget(black_box(kept));
+    after.saturating_sub(before) as f64 / 1_024.0 / COPIES as f64
+}
+
 fn attempt(number: u64) -> AttemptId {
     AttemptId {
         request: RequestId(u128::from(number)),
@@ -375,8 +440,55 @@
         * PAGE
 }
 
+/// Returns the size of a control message as the processes encode it.
 fn size(message: &impl Serialize) -> f64 {
-    serde_json::to_vec(message).map_or(0.0, |bytes| bytes.len() as f64)
+    let bytes = bincode::DefaultOptions::new().serialize(message);
+    bytes.expect("control messages have a binary form").len() as f64
+}
+
+fn size_json(message: &impl Serialize) -> f64 {
+    let bytes = serde_json::to_vec(message);
+    bytes.expect("messages are plain data").len() as f64
+}
+
+/// Returns the bytes of a call in both directions.
+fn call(request: f64, response: f64) -> f64 {
+    let sent = |bytes: f64| bytes + SEGMENT * (bytes / SEGMENT_PAYLOAD).ceil();
+    sent(request + REQUEST) + sent(response + RESPONSE) + ACKNOWLEDGEMENTS * SEGMENT
+}
+
+/// The answer of a sidecar: load, number of crashes, and logical time.
+fn report_answer() -> (LoadReport, u64, u64) {
+    (load_report(1, 123_456), 1, 1_800_000_000_000)
+}
+
+/// The argument of a report: what the entry has seen, in the order of the fields on the wire.
+fn report_seen() -> impl Serialize {
+    let load = load_report(1, 123_456);
+    (
+        Some(load.incarnation),
+        load.revision,
+        load.gate,
+        load.up,
+        load.cold,
+        load.limit,
+        load.used,
+        1_u64,
+    )
+}
+
+/// Gossip without the statuses of moves: name, life and revision of the entry, evidence, crashes,
+/// an empty list of moves, and logical time.
+fn gossip(evidence: Evidence, crashes: CrashLog) -> impl Serialize {
+    (
+        Name::new("entry-410"),
+        Incarnation(0x0123_4567_89ab_cdef),
+        Revision(250),
+        evidence,
+        crashes,
+        0_u64,
+        1_800_000_000_000_u64,
+    )
 }
 
 /// Evidence of a move of three routes, for buckets of two seconds.
@@ -413,10 +525,17 @@
 
 fn messages() -> Vec<(String, f64)> {
     vec![
-        ("offer".into(), size(&offer(1))),
-        ("load report".into(), size(&load_report(1, 123_456))),
+        (
+            "offer (header of the data path, JSON)".into(),
+            size_json(&offer(1)),
+        ),
+        ("report, request".into(), size(&report_seen())),
+        ("report, response".into(), size(&report_answer())),
         ("crash log, 1 crash of 30 streams".into(), size(&crashes(1))),
-        ("crash log, 64 crashes".into(), size(&crashes(64))),
+        (
+            format!("crash log, {MAX_CRASHES} crashes of 30 streams"),
+            size(&crashes(MAX_CRASHES)),
+        ),
         ("evidence, 1 entry, 60 s".into(), size(&evidence(1, 30))),
         (
             "evidence, 410 entries, 60 s".into(),
@@ -431,34 +550,91 @@
     evidence(1, buckets).since(Bucket(0), Some(process))
 }
 
-/// Returns the control traffic of an entry, received and sent. A move is under way in the second.
+/// Returns the control traffic of a node, received and sent. In a move, each message carries the
+/// sender's own counts of 10 s.
 fn traffic(reports: f64) -> Vec<(String, f64)> {
     let (entries, targets) = FLEET;
-    let report = size(&load_report(1, 123_456)) + ENVELOPE;
-    let heartbeat = SUBSET * report;
+    let report = call(size(&report_seen()), size(&report_answer()));
     let watchers = entries * SUBSET / targets;
-    let idle = 2.0 * EXCHANGES / 2.0 * (ENVELOPE + 120.0);
-    let gossip = |evidence: f64| EXCHANGES * (evidence + ENVELOPE);
-    vec![
-        ("reports, heartbeat only, entry".into(), heartbeat),
-        (
-            format!("reports, {reports:.1} per second, entry"),
-            reports * heartbeat,
-        ),
-        (
-            format!("reports, {reports:.1} per second, sidecar"),
-            reports * watchers * report,
-        ),
-        ("gossip without a move, entry".into(), idle),
-        (
-            "gossip in a move as the entry sends it (all processes, 60 s)".into(),
-            gossip(size(&evidence(410, 30))),
-        ),
-        (
-            "gossip in a move with own counts of 10 s only".into(),
-            gossip(size(&own(5))),
-        ),
-    ]
+    let exchange = |evidence: Evidence, log: u64| {
+        let message = size(&gossip(evidence, crashes(log)));
+        EXCHANGES * call(message, message)
+    };
+    // A sidecar that answers on a significant change still answers once in a heartbeat interval.
+    let reports = reports.max(1.0);
+    let rates = [
+        ("heartbeat only", 1.0),
+        ("by change", reports),
+        ("at most", MAX_REPORTS),
+    ];
+    let mut rows = Vec::new();
+    for (name, rate) in rates {
+        rows.push((
+            format!("reports, {name} ({rate:.2}/s), entry"),
+            rate * SUBSET * report,
+        ));
+        rows.push((
+            format!("reports, {name} ({rate:.2}/s), sidecar"),
+            rate * watchers * report,
+        ));
+    }
+    rows.push((
+        "gossip without a move, entry".into(),
+        exchange(Evidence::default(), 0),
+    ));
+    rows.push(("gossip in a move, entry".into(), exchange(own(5), 0)));
+    rows.push((
+        format!("gossip without a move, crash log of {MAX_CRASHES}, entry"),
+        exchange(Evidence::default(), MAX_CRASHES),
+    ));
+    // Each read is a whole list; the request is taken as small as a control request.
+    let list = size_json(&instances((entries + targets) as usize));
+    rows.push((
+        "instance list, entry".into(),
+        call(0.0, list) / LIST_INTERVAL,
+    ));
+    // An entry fetches the whole log after each report of a sidecar that knows a crash.
+    for log in [1, MAX_CRASHES] {
+        let fetch = reports * call(0.0, size(&crashes(log)));
+        rows.push((
+            format!("crash log of {log} after each report, entry"),
+            SUBSET * fetch,
+        ));
+        rows.push((
+            format!("crash log of {log} after each report, sidecar"),
+            watchers * fetch,
+        ));
+    }
+    rows
+}
+
+/// Returns a list of the platform with rows as a deployment in two years has them.
+fn instances(rows: usize) -> Vec<InstanceRow> {
+    let row = |index: usize| InstanceRow {
+        instance: Name::new(&format!("instance-{index:04}")),
+        zone: Name::new(&format!("zone-{}", index % 8)),
+        state: InstanceState::Live,
+        data: format!("10.20.{}.{}:8080", index / 250, index % 250).into(),
+        control: format!("10.20.{}.{}:8081", index / 250, index % 250).into(),
+        target: (index >= 410).then(|| Name::new(&format!("engine-{index:04}"))),
+    };
+    (0..rows).map(row).collect()
+}
+
+/// Returns the mean time in microseconds to choose the subset of an entry.
+fn choice(targets: usize) -> f64 {
+    const CHOICES: usize = 100;
+    let info = |index| {
+        let name = Name::new(&format!("engine-{index}"));
+        ebonylug_membership::TargetInfo::new(name, Name::new(&format!("zone-{}", index % 8)))
+    };
+    let infos: Vec<_> = (0..targets).map(info).collect();
+    let entry = Name::new("entry-1");
+    let clock = Instant::now();
+    for _ in 0..CHOICES {
+        black_box(subset(&entry, &infos, SUBSET as usize));
+    }
+    clock.elapsed().as_secs_f64() * 1e6 / CHOICES as f64
 }
 
 /// Returns the targets of section 1.3 that the figures show.
@@ -468,8 +644,9 @@
     let (first, last) = (routing[0].1, routing[routing.len() - 1].1);
     let logarithm = (TARGETS[3] as f64).ln() / (TARGETS[0] as f64).ln();
     let traffic = |place: usize| report.traffic[place].1;
-    let calm = traffic(1) + traffic(3);
-    let moving = traffic(1) + traffic(4);
+    let calm = traffic(2) + traffic(6);
+    let moving = traffic(2) + traffic(7);
+    let crashed = traffic(2) + traffic(8) + traffic(12);
     let bound = 13_000.0;
     vec![
         Target::at_most(
@@ -496,6 +673,24 @@
             moving,
             bound,
         ),
+        Target::at_most(
+            "the same without a move, full crash log, B/s".into(),
+            "< 13,000",
+            crashed,
+            bound,
+        ),
+        Target::at_most(
+            "control traffic of a sidecar at 410 x 600, B/s".into(),
+            "< 13,000",
+            traffic(3),
+            bound,
+        ),
+        Target::at_most(
+            "instance list of an entry at 410 x 600, B/s".into(),
+            "< 13,000",
+            traffic(9),
+            bound,
+        ),
     ]
 }
 
@@ -525,7 +720,7 @@
     };
     vec![
         slopes,
-        list("message, bytes as JSON", &report.messages),
+        list("message, bytes", &report.messages),
         list("control traffic at 410 x 600, B/s", &report.traffic),
     ]
 }
