routing: give up batch work that cannot be done by its deadline

A request that would miss its deadline even at half the usual time per token is now given up before it is sent, and the refusal is returned in the same poll.

A new test covers the rule itself.

--- a/crates/ebonylug-routing/src/poll.rs
+++ b/crates/ebonylug-routing/src/poll.rs
@@ -8,8 +8,13 @@
 use crate::ledger::Stage;
 use crate::prefix::Holder;
 use crate::target::Send;
+use crate::workload::bounded_secs;
 use crate::{Action, Actions, Dispatch, RequestKey, RouteKey, Router, VersionKey};
 
+/// Part of the usual time in which a request may be done at best. Only a request that would miss
+/// its deadline even then is given up.
+const BEST_PACE: f64 = 0.5;
+
 /// What one pass over the queues has found out. Room only shrinks during a pass, so that what
 /// is blocked stays blocked.
 #[derive(Debug, Default)]
@@ -17,6 +22,8 @@
     blocked: SmallVec<[(RouteKey, VersionKey); 4]>,
     /// Routes on which interactive requests wait for room.
     waiting: SmallVec<[RouteKey; 4]>,
+    /// Whether a request was given up, so that the next one of its route is to be tried.
+    dropped: bool,
 }
 
 impl Router {
@@ -31,6 +38,8 @@
         self.dispatch(now, Class::Interactive, &mut pass, &mut actions);
         pass.blocked.clear();
         self.dispatch(now, Class::Batch, &mut pass, &mut actions);
+        // What the dispatch gave up is returned now, or it would wait for the next event.
+        actions.append(&mut self.pending);
         actions
     }
 
@@ -60,11 +69,16 @@
         }
         while let Some(index) = (0..turns.len()).min_by_key(|&index| turns[index].0) {
             let route = turns[index].1;
-            let Some(dispatch) = self.dispatch_one(now, class, route, pass) else {
-                turns.swap_remove(index);
-                continue;
-            };
-            actions.push(Action::Dispatch(dispatch));
+            let dispatch = self.dispatch_one(now, class, route, pass);
+            let dropped = std::mem::take(&mut pass.dropped);
+            match dispatch {
+                Some(dispatch) => actions.push(Action::Dispatch(dispatch)),
+                None if dropped => {}
+                None => {
+                    turns.swap_remove(index);
+                    continue;
+                }
+            }
             match self.queue.turn(class, route) {
                 Some(turn) => turns[index].0 = turn,
                 None => {
@@ -92,6 +106,11 @@
         for (skip, most) in [(0, 1), (1, self.settings.lookahead)] {
             let heads = self.queue.heads(class, route, most);
             for key in heads.into_iter().skip(skip) {
+                if self.is_hopeless(now, key) {
+                    self.give_up(key, Refusal::new(Reason::Deadline));
+                    pass.dropped = true;
+                    return None;
+                }
                 let dispatch = self.try_one(now, key, pass);
                 if dispatch.is_some() {
                     return dispatch;
@@ -105,6 +124,20 @@
         None
     }
 
+    /// Reports whether a batch request cannot be done by its deadline even if it is sent now.
+    ///
+    /// Such a request would take the place of one that can: under overload nearly all batch work
+    /// was answered late, since the latest were sent first.
+    fn is_hopeless(&self, now: Instant, key: RequestKey) -> bool {
+        let entry = self.ledger.entry(key);
+        let request = &entry.request;
+        let Some(deadline) = request.deadline.filter(|_| !request.tier.is_interactive()) else {
+            return false;
+        };
+        let pace = self.routes[request.route.index()].pace * BEST_PACE;
+        now + bounded_secs(pace * entry.cost.as_f64()) > deadline
+    }
+
     /// Sends a request if its version, or the one that takes the overflow, has a target.
     fn try_one(&mut self, now: Instant, key: RequestKey, pass: &mut Pass) -> Option<Dispatch> {
         let drawn = self.version_of(key)?;
--- a/crates/ebonylug-routing/tests/queue.rs
+++ b/crates/ebonylug-routing/tests/queue.rs
@@ -277,3 +277,28 @@
     let footprint = fixture.router.footprint();
     assert!(footprint <= 64 + 3, "{footprint} entries");
 }
+
+/// Guards against a batch request that takes the place of one that can still be done, although
+/// its own answer would come too late. Each row: seconds to the deadline, and whether a request
+/// of 100 tokens is sent after one of 100 tokens took ten seconds.
+#[test]
+fn batch_work_that_cannot_be_done_in_time_is_given_up() {
+    let table = [(NIGHTLY, 4, false), (NIGHTLY, 6, true), (URGENT, 4, true)];
+    for (tier, seconds, sent) in table {
+        let mut fixture = Fixture::new(Settings::default(), 1, &[1_000]);
+        fixture.put(NIGHTLY, 100);
+        let first = fixture.dispatch();
+        fixture.advance(10_000);
+        fixture.outcome(first.offer.attempt, Outcome::Answered);
+        let key = fixture.put_for("ropeworks", tier, 100, Some(seconds));
+        if sent {
+            assert_eq!(fixture.dispatch().request, key, "{tier:?}, {seconds} s");
+        } else {
+            assert_eq!(
+                fixture.shed(),
+                [(key, Reason::Deadline)],
+                "in the same poll"
+            );
+        }
+    }
+}
