admission: keep headroom for interactive work

Batch work now leaves room for the recent peak of interactive work, which falls to one half in 10 s. The report counts it as reserved, so that entries send batch work elsewhere.

--- a/crates/ebonylug-admission/src/admission.rs
+++ b/crates/ebonylug-admission/src/admission.rs
@@ -8,6 +8,7 @@
 
 use crate::baseline::Baseline;
 use crate::coldness::Coldness;
+use crate::headroom::Headroom;
 use crate::ledger::Ledger;
 use crate::limit::Limit;
 use crate::preempt::victims;
@@ -37,6 +38,7 @@
     ledger: Ledger,
     refusals: Refusals,
     reservations: Reservations,
+    headroom: Headroom,
     limit: Limit,
     baseline: Baseline,
     coldness: Coldness,
@@ -61,6 +63,7 @@
             ledger: Ledger::new(settings.retention, settings.max_tombstones),
             refusals: Refusals::new(settings.refusal_memory, settings.retention, now),
             reservations: Reservations::new(settings.max_reservations),
+            headroom: Headroom::new(settings.headroom, now),
             limit: Limit::new(&settings, now),
             baseline: Baseline::default(),
             coldness: Coldness::new(settings.silent_factor, settings.silent_samples),
@@ -264,7 +267,9 @@
             used: self.streams.load().tokens,
             batch: self.streams.preemptible(),
             rate: self.limit.rate(),
-            reserved: self.reservations.total(now).min(self.limit.value()),
+            reserved: self
+                .kept(now, self.reservations.total(now))
+                .min(self.limit.value()),
         }
     }
 
@@ -337,6 +342,10 @@
             return Err(Reason::Full);
         }
         let cost = self.cost(offer);
+        if offer.tier.is_interactive() {
+            let wanted = self.streams.interactive() + cost;
+            self.headroom.observe(now, wanted.min(self.limit.value()));
+        }
         let suspect = verdict == Verdict::Suspect;
         let preempt = self
             .room(now, offer, cost, suspect)
@@ -395,12 +404,19 @@
         if offer.tier.is_interactive() {
             return self.room_by_preemption(now, cost, reserved);
         }
-        let next = self.streams.load().tokens + cost + reserved;
+        let next = self.streams.load().tokens + cost + self.kept(now, reserved);
         let fits = next <= self.limit.value();
         let oversized = empty && reserved == Tokens::ZERO;
         (fits || oversized).then(Attempts::new)
     }
 
+    /// Returns the room that batch work leaves: what is reserved, or what interactive work is
+    /// expected to need.
+    fn kept(&self, now: Instant, reserved: Tokens) -> Tokens {
+        let spare = self.headroom.spare(now, self.streams.interactive());
+        reserved.max(spare)
+    }
+
     /// Makes room for interactive work from free room first, then from batch streams.
     ///
     /// Reservations of more urgent requests take the free room only: an interactive request is
--- a/crates/ebonylug-admission/src/lib.rs
+++ b/crates/ebonylug-admission/src/lib.rs
@@ -95,6 +95,7 @@
 mod coldness;
 mod crash;
 mod decision;
+mod headroom;
 mod ledger;
 mod limit;
 mod preempt;
--- a/crates/ebonylug-admission/src/settings.rs
+++ b/crates/ebonylug-admission/src/settings.rs
@@ -49,6 +49,7 @@
     pub(crate) refusal_memory: usize,
     pub(crate) reservation: Duration,
     pub(crate) max_reservations: usize,
+    pub(crate) headroom: Duration,
     pub(crate) batch_share: f64,
     pub(crate) guards_fences: bool,
 }
@@ -84,6 +85,8 @@
             refusal_memory: 262_144,
             reservation: Duration::from_secs(1),
             max_reservations: 16,
+            // Bursts return before the peak has fallen to a tenth if they are half a minute apart.
+            headroom: Duration::from_secs(10),
             batch_share: 0.0,
             guards_fences: true,
         }
@@ -227,6 +230,14 @@
         self
     }
 
+    /// Sets the time in which the remembered peak of interactive work falls to one half. Batch
+    /// work leaves room for this peak; zero leaves none.
+    #[must_use]
+    pub fn headroom(mut self, half_life: Duration) -> Self {
+        self.headroom = half_life;
+        self
+    }
+
     /// Sets the share of the limit, 0 to 1, down to which running batch work is not preempted.
     ///
     /// A value above 0 lets interactive work be refused while batch work runs.
