admission: do not preempt for a reservation at a cold target

A refused interactive request usually goes to another target. Preempting batch streams for it took away the streams whose first tokens prove what the target can handle.

Tests: batch_work_leaves_a_target_that_turned_cold expects no preemption for the reservation, and that batch work is still refused while the reservation lives.

--- a/crates/ebonylug-admission/src/admission.rs
+++ b/crates/ebonylug-admission/src/admission.rs
@@ -518,7 +518,9 @@
             Tokens::ZERO if self.limit.is_cold() => self.cold_excess(),
             Tokens::ZERO => Tokens::ZERO,
             _ if self.streams.has_alone() => batch,
-            _ if self.limit.is_cold() => self.streams.active() + reserved - self.limit.value(),
+            // A reservation alone preempts nothing: the refused request usually goes elsewhere, and
+            // a cold target whose batch streams are preempted never proves what it can handle.
+            _ if self.limit.is_cold() => self.cold_excess(),
             _ => Tokens::ZERO,
         };
         let need = excess.min(batch);
--- a/crates/ebonylug-admission/src/stream.rs
+++ b/crates/ebonylug-admission/src/stream.rs
@@ -148,6 +148,11 @@
         self.preemptible
     }
 
+    /// Returns the work that cannot be preempted.
+    pub(crate) fn interactive(&self) -> Tokens {
+        self.used - self.preemptible - self.preempting
+    }
+
     /// Returns the cost of the largest stream.
     pub(crate) fn largest(&self) -> Tokens {
         self.running
