--- a/crates/ebonylug-admission/src/admission.rs
+++ b/crates/ebonylug-admission/src/admission.rs
@@ -186,6 +186,7 @@
     /// Takes a report of the engine, which may show that it was restarted.
     pub fn engine_report(&mut self, now: Instant, report: EngineReport) {
         self.step(now);
+        self.limit.reported(report.waiting);
         if self.coldness.observe(report) && self.up {
             self.epoch += 1;
             self.cool(now);
--- a/crates/ebonylug-admission/src/limit.rs
+++ b/crates/ebonylug-admission/src/limit.rs
@@ -69,6 +69,8 @@
     since: Instant,
     changed: Instant,
     window: Window,
+    /// Streams that waited inside the target at its last report.
+    waiting: u32,
     prefill: Option<f64>,
     decode: Option<f64>,
     rate: f64,
@@ -93,6 +95,7 @@
             since: now,
             changed: now,
             window: Window::open(now, Tokens::ZERO),
+            waiting: 0,
             prefill: None,
             decode: None,
             rate: 0.0,
@@ -158,6 +161,11 @@
         self.window.short |= fits_alone && load.tokens + cost > self.value;
     }
 
+    /// Records the streams that wait inside the target, as it reports them with a lag.
+    pub(crate) fn reported(&mut self, waiting: u32) {
+        self.waiting = waiting;
+    }
+
     /// Records work that the target has done.
     pub(crate) fn worked(&mut self, tokens: Tokens) {
         self.window.work += tokens;
@@ -221,6 +229,8 @@
         match pressure.filter(|_| !self.is_cold()) {
             Some(ratio) if ratio > settings.shrink_above => self.shrink(settings, now),
             Some(ratio) if ratio > settings.grow_below => self.phase = Phase::Steady,
+            // More work would wait inside the target, where nobody can put urgent work first.
+            Some(_) if self.waiting > 0 => self.phase = Phase::Steady,
             Some(_) if self.is_used() => self.grow(settings, now),
             _ => {}
         }
