admission: judge a first token by the milder of two expectations

A prompt that was taken for cached and was not has a high latency relative to the part that was to be computed. It no longer counts against the limit if it is usual for the whole prompt.

--- a/crates/ebonylug-admission/src/admission.rs
+++ b/crates/ebonylug-admission/src/admission.rs
@@ -112,7 +112,8 @@
             self.cool(now);
             return;
         }
-        self.limit.first_token(&self.settings, now, &sample, ratio);
+        self.limit
+            .first_token(&self.settings, now, &sample, ratio.min(slowness));
     }
 
     /// Records output tokens that were delivered since the last call for this attempt.
