routing: keep a target for each interactive request that waits

An interactive request without room now keeps the target with the most room for this pass, on all routes of that target, and the others go on elsewhere. A request above every limit does not keep the last serving target.

--- a/crates/ebonylug-routing/src/poll.rs
+++ b/crates/ebonylug-routing/src/poll.rs
@@ -9,7 +9,7 @@
 use crate::prefix::Holder;
 use crate::target::Send;
 use crate::workload::bounded_secs;
-use crate::{Action, Actions, Dispatch, RequestKey, RouteKey, Router, VersionKey};
+use crate::{Action, Actions, Dispatch, RequestKey, RouteKey, Router, TargetKey, VersionKey};
 
 /// Part of the usual time in which a request may be done at best. Only a request that would miss
 /// its deadline even then is given up.
@@ -22,6 +22,9 @@
     blocked: SmallVec<[(RouteKey, VersionKey); 4]>,
     /// Routes on which interactive requests wait for room.
     waiting: SmallVec<[RouteKey; 4]>,
+    /// Interactive requests that found no room, and the targets that are kept for them.
+    stuck: SmallVec<[RequestKey; 16]>,
+    held: SmallVec<[TargetKey; 16]>,
     /// Whether a request was given up, so that the next one of its route is to be tried.
     dropped: bool,
 }
@@ -36,6 +39,9 @@
         let mut actions = std::mem::take(&mut self.pending);
         let mut pass = Pass::default();
         self.dispatch(now, Class::Interactive, &mut pass, &mut actions);
+        for target in pass.held.drain(..) {
+            self.targets.release(target);
+        }
         pass.blocked.clear();
         self.dispatch(now, Class::Batch, &mut pass, &mut actions);
         // What the dispatch gave up is returned now, or it would wait for the next event.
@@ -90,10 +96,11 @@
 
     /// Sends the first request of a route that has a target, if any.
     ///
-    /// A request that waits holds up the others for the same version, or a large request would
-    /// wait for ever behind small ones. It does not hold up other versions. How far they may
-    /// get ahead is limited, or a version with a small share would get most of the traffic
-    /// while the others are full.
+    /// A batch request that waits holds up the others for the same version, or a large request
+    /// would wait for ever behind small ones. It does not hold up other versions. How far they
+    /// may get ahead is limited, or a version with a small share would get most of the traffic
+    /// while the others are full. An interactive request that waits keeps one target to itself,
+    /// whatever routes the target serves, and the others go on elsewhere.
     fn dispatch_one(
         &mut self,
         now: Instant,
@@ -106,6 +113,9 @@
         for (skip, most) in [(0, 1), (1, self.settings.lookahead)] {
             let heads = self.queue.heads(class, route, most);
             for key in heads.into_iter().skip(skip) {
+                if pass.stuck.contains(&key) {
+                    continue;
+                }
                 if self.is_hopeless(now, key) {
                     self.give_up(key, Refusal::new(Reason::Deadline));
                     pass.dropped = true;
@@ -141,7 +151,8 @@
     /// Sends a request if its version, or the one that takes the overflow, has a target.
     fn try_one(&mut self, now: Instant, key: RequestKey, pass: &mut Pass) -> Option<Dispatch> {
         let drawn = self.version_of(key)?;
-        let route = self.ledger.entry(key).request.route;
+        let request = &self.ledger.entry(key).request;
+        let (route, class) = (request.route, request.tier.class);
         let fallback = self.routes[route.index()].shares.fallback(drawn);
         for version in [Some(drawn), fallback].into_iter().flatten() {
             if pass.blocked.contains(&(route, version)) {
@@ -151,11 +162,62 @@
                 self.fall_back(key, drawn, version);
                 return Some(self.send(now, key, chosen));
             }
-            self.block(key, version, pass);
+            if class == Class::Batch {
+                self.block(key, version, pass);
+            }
+        }
+        if class == Class::Interactive {
+            self.hold(key, drawn, fallback, pass);
         }
         None
     }
 
+    /// Keeps a target for an interactive request that found no room: the one that will have room
+    /// first, since it has the most now and gets nothing more.
+    ///
+    /// Without it, requests of other routes and smaller ones would take each bit of room. If the
+    /// request held up all others instead, one of 5,000 tokens would stop a route whose targets
+    /// each have room for 4,000.
+    fn hold(
+        &mut self,
+        key: RequestKey,
+        drawn: VersionKey,
+        fallback: Option<VersionKey>,
+        pass: &mut Pass,
+    ) {
+        let route = self.ledger.entry(key).request.route;
+        pass.stuck.push(key);
+        for version in [Some(drawn), fallback].into_iter().flatten() {
+            let group = self.targets.group(route, version);
+            let total = group.map(|group| group.tree.total()).unwrap_or_default();
+            // Without a serving target there is nothing to keep free for interactive requests.
+            if total.limit == 0 {
+                pass.block(route, version);
+                continue;
+            }
+            // A request above every limit waits for an idle target, which may take long, so it
+            // does not hold up the last one.
+            let oversized = self.ledger.entry(key).cost.0 > total.largest;
+            if oversized && total.limit == total.largest {
+                continue;
+            }
+            if !pass.waiting.contains(&route) {
+                pass.waiting.push(route);
+            }
+            if pass.held.len() >= self.settings.lookahead {
+                pass.block(route, version);
+                continue;
+            }
+            match self.targets.hold_widest(route, version) {
+                Some(target) => {
+                    pass.held.push(target);
+                    return;
+                }
+                None => pass.block(route, version),
+            }
+        }
+    }
+
     /// Returns the version that was drawn for a request, or draws one.
     fn version_of(&mut self, key: RequestKey) -> Option<VersionKey> {
         let entry = self.ledger.entry_mut(key);
@@ -207,23 +269,18 @@
         self.chooser.choose(&self.targets, &wanted)
     }
 
-    /// Notes that a version has no room for a request.
+    /// Notes that a version has no room for a batch request.
     fn block(&self, key: RequestKey, version: VersionKey, pass: &mut Pass) {
-        let request = &self.ledger.entry(key).request;
-        let route = request.route;
+        let entry = self.ledger.entry(key);
+        let route = entry.request.route;
         let group = self.targets.group(route, version);
         let total = group.map(|group| group.tree.total()).unwrap_or_default();
         // A request above every limit waits for an idle target, which may take long, so it
         // holds up nothing.
-        if total.limit > 0 && self.ledger.entry(key).cost.0 > total.largest {
+        if total.limit > 0 && entry.cost.0 > total.largest {
             return;
         }
-        pass.blocked.push((route, version));
-        // Without a serving target there is nothing to keep free for interactive requests.
-        let waits = request.tier.is_interactive() && total.limit > 0;
-        if waits && !pass.waiting.contains(&route) {
-            pass.waiting.push(route);
-        }
+        pass.block(route, version);
     }
 
     fn send(&mut self, now: Instant, key: RequestKey, chosen: Chosen) -> Dispatch {
@@ -283,3 +340,11 @@
         }
     }
 }
+
+impl Pass {
+    fn block(&mut self, route: RouteKey, version: VersionKey) {
+        if !self.blocked.contains(&(route, version)) {
+            self.blocked.push((route, version));
+        }
+    }
+}
--- a/crates/ebonylug-routing/src/room.rs
+++ b/crates/ebonylug-routing/src/room.rs
@@ -79,6 +79,22 @@
         position.or_else(|| self.find_after(class, need, 0))
     }
 
+    /// Returns the position with the most room for interactive work, if there is any.
+    pub(crate) fn widest(&self) -> Option<usize> {
+        let most = self.total().interactive;
+        if most == 0 {
+            return None;
+        }
+        let mut node = 1;
+        while node < self.width {
+            node *= 2;
+            if self.nodes[node].interactive < most {
+                node += 1;
+            }
+        }
+        Some(node - self.width)
+    }
+
     fn find_after(&self, class: Class, need: u64, start: usize) -> Option<usize> {
         let mut node = self.width + start;
         while self.nodes[node].of(class) < need {
--- a/crates/ebonylug-routing/src/target.rs
+++ b/crates/ebonylug-routing/src/target.rs
@@ -64,6 +64,8 @@
     pub(crate) places: SmallVec<[usize; 4]>,
     /// Until when no work of a class is sent after a refusal: interactive, batch.
     pub(crate) pauses: [Option<Instant>; 2],
+    /// Whether the target is kept for an interactive request that waits.
+    pub(crate) held: bool,
     report: Option<LoadReport>,
     /// The incarnation before the present one, whose late reports are discarded.
     former: Option<ebonylug_core::Incarnation>,
@@ -102,6 +104,7 @@
             generation: 0,
             places: SmallVec::new(),
             pauses: [None; 2],
+            held: false,
             report: None,
             former: None,
             rate: 0.0,
@@ -231,8 +234,8 @@
         let urgent = load - self.batch_load();
         let open = |index: usize, held: Tokens| {
             let limit = report.limit.scale(factors[index]);
-            if self.pauses[index].is_some() || factors[index] <= 0.0 || report.limit == Tokens::ZERO
-            {
+            let closed = self.pauses[index].is_some() || factors[index] <= 0.0;
+            if self.held || closed || report.limit == Tokens::ZERO {
                 0
             } else if held == Tokens::ZERO {
                 // A target without work takes one request of any size, or a large request
--- a/crates/ebonylug-routing/src/targets.rs
+++ b/crates/ebonylug-routing/src/targets.rs
@@ -163,6 +163,24 @@
         }
     }
 
+    /// Keeps the target with the most room in a group for an interactive request that waits;
+    /// returns it, or nothing if none has any room.
+    pub(crate) fn hold_widest(
+        &mut self,
+        route: RouteKey,
+        version: VersionKey,
+    ) -> Option<TargetKey> {
+        let group = self.groups.get(&(route, version))?;
+        let key = group.members[group.tree.widest()?];
+        self.change(key, |target| target.held = true);
+        Some(key)
+    }
+
+    /// Gives back a target that was kept.
+    pub(crate) fn release(&mut self, key: TargetKey) {
+        self.change(key, |target| target.held = false);
+    }
+
     /// Returns when the next pause ends.
     pub(crate) fn next_wake(&self) -> Option<Instant> {
         self.timers.first().map(|&(until, _)| until)
