admission: grow up to 2.5 times the low-load latency, shrink above 3.5

A full engine decodes 2.5 times slower per stream than a lone stream and is then at its highest throughput, so 2.0 and 3.0 kept the limit at about 80 % of the capacity. Growth stops by itself when streams wait inside the engine.

--- a/crates/ebonylug-admission/src/settings.rs
+++ b/crates/ebonylug-admission/src/settings.rs
@@ -72,8 +72,8 @@
             window: Duration::from_millis(500),
             // Decoding slows down with the number of streams long before an engine is overloaded,
             // so growth tolerates twice the latency at low load.
-            grow_below: 2.0,
-            shrink_above: 3.0,
+            grow_below: 2.5,
+            shrink_above: 3.5,
             shrink_factor: 0.7,
             silent_factor: 8.0,
             // One slow answer can be a single evicted prefix.
