--- a/crates/ebonylug-routing/src/room.rs
+++ b/crates/ebonylug-routing/src/room.rs
@@ -7,6 +7,8 @@
     pub(crate) interactive: u64,
     /// Room for batch work; the largest one, for several targets.
     pub(crate) batch: u64,
+    /// Room for interactive work without preemption; the largest one, for several targets.
+    pub(crate) free: u64,
     /// Work inside the targets that serve at present.
     pub(crate) load: u64,
     /// The limit on this work.
@@ -39,6 +41,7 @@
         Room {
             interactive: self.interactive.max(other.interactive),
             batch: self.batch.max(other.batch),
+            free: self.free.max(other.free),
             load: self.load.saturating_add(other.load),
             limit: self.limit.saturating_add(other.limit),
             largest: self.largest.max(other.largest),
@@ -69,14 +72,23 @@
         self.nodes.get(1).copied().unwrap_or_default()
     }
 
-    /// Returns the first position from `start` on, cyclically, with room for `need`.
+    /// Returns the first position from `start` on, cyclically, with room for `need`: free room,
+    /// if any position has enough, or else what can be made free by preemption.
     pub(crate) fn find(&self, class: Class, need: u64, start: usize) -> Option<usize> {
         let need = need.max(1);
-        if self.total().of(class) < need {
+        let total = self.total();
+        if class == Class::Interactive && total.free >= need {
+            return self.find_from(|room| room.free, need, start);
+        }
+        if total.of(class) < need {
             return None;
         }
-        let position = self.find_after(class, need, start);
-        position.or_else(|| self.find_after(class, need, 0))
+        self.find_from(|room| room.of(class), need, start)
+    }
+
+    fn find_from(&self, of: impl Fn(Room) -> u64, need: u64, start: usize) -> Option<usize> {
+        let position = self.find_after(&of, need, start);
+        position.or_else(|| self.find_after(&of, need, 0))
     }
 
     /// Returns the position with the most room for interactive work, if there is any.
@@ -95,9 +107,9 @@
         Some(node - self.width)
     }
 
-    fn find_after(&self, class: Class, need: u64, start: usize) -> Option<usize> {
+    fn find_after(&self, of: &impl Fn(Room) -> u64, need: u64, start: usize) -> Option<usize> {
         let mut node = self.width + start;
-        while self.nodes[node].of(class) < need {
+        while of(self.nodes[node]) < need {
             // Climbs as long as the node is the last child, then goes to its sibling.
             while node % 2 == 1 {
                 if node == 1 {
@@ -109,7 +121,7 @@
         }
         while node < self.width {
             node *= 2;
-            if self.nodes[node].of(class) < need {
+            if of(self.nodes[node]) < need {
                 node += 1;
             }
         }
--- a/crates/ebonylug-routing/src/target.rs
+++ b/crates/ebonylug-routing/src/target.rs
@@ -248,6 +248,7 @@
         Room {
             interactive: open(0, urgent),
             batch: open(1, load + report.reserved),
+            free: open(0, load),
             load: load.0,
             limit: report.limit.0,
             largest: report.limit.0,
