admission: preempt what loses the least prefill for the room it frees

Streams were taken by their absolute loss, so a large request preempted dozens of small streams instead of a few large ones.

--- a/crates/ebonylug-admission/src/preempt.rs
+++ b/crates/ebonylug-admission/src/preempt.rs
@@ -16,6 +16,13 @@
     rank: u8,
 }
 
+impl Victim {
+    /// Returns the prefill that is lost for each 1,024 tokens that become free.
+    fn rate(&self) -> u64 {
+        self.lost.0.saturating_mul(1_024) / self.frees.0.max(1)
+    }
+}
+
 /// Chooses batch streams that free at least `need` tokens, with little prefill lost.
 ///
 /// At most `room` tokens may be freed. Returns nothing if the streams do not suffice.
@@ -36,7 +43,7 @@
             rank: stream.tier.rank,
         })
         .collect();
-    all.sort_by_key(|v| (v.lost, Reverse(v.rank), Reverse(v.frees), v.attempt));
+    all.sort_by_key(|v| (v.rate(), Reverse(v.rank), Reverse(v.frees), v.attempt));
     let single = all.iter().find(|v| v.frees >= need).copied();
     let several = collect(&all, need, room);
     match (single, several) {
