routing: let batch work wait for a warm cache

A preempted stream was resumed elsewhere, because its home was full at that moment, and its prefill was computed again. Requests with the same template were sent to several targets, or to one that was still computing it, and computed it each. A batch request that would find at least half of its work in a cache now stands aside until that target has room, and while the same prompt is still being computed, for up to 10 s and a quarter of its slack. It holds up nobody. A hint counts as known once an answer or a preemption after output shows that the prompt was computed.

--- a/crates/ebonylug-admission/tests/priority.rs
+++ b/crates/ebonylug-admission/tests/priority.rs
@@ -120,6 +120,13 @@
             500,
             Some(&[1]),
         ),
+        (
+            "least lost prefill for the room",
+            &[started(100), started(100), started(100), batch(700)],
+            URGENT,
+            300,
+            Some(&[3]),
+        ),
         ("oversized alone", &[], URGENT, 5_000, Some(&[])),
         ("oversized batch alone", &[], BATCH, 5_000, Some(&[])),
         ("oversized batch waits", &[batch(1)], BATCH, 5_000, None),
--- a/crates/ebonylug-routing/src/choice.rs
+++ b/crates/ebonylug-routing/src/choice.rs
@@ -43,6 +43,18 @@
     pub(crate) barred: &'a [RouteKey],
 }
 
+/// Part of a request's cost that must be in a cache for the request to wait for that target.
+const WORTH_WAITING: f64 = 0.5;
+
+/// Where a request finds most of its prompt in a cache.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Warm {
+    /// At a target with room.
+    Now(Chosen),
+    /// At a target that has no room, or that is still computing the same prompt.
+    Later(TargetKey),
+}
+
 /// The chosen target.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Chosen {
@@ -71,6 +83,29 @@
         cached.or_else(|| self.by_speed(targets, group, wanted))
     }
 
+    /// Looks for a target that saves most of the work of a batch request, whether it is busy or
+    /// not.
+    pub(crate) fn warm(&self, targets: &Targets, wanted: &Wanted<'_>) -> Option<Warm> {
+        let group = targets.group(wanted.route, wanted.version)?;
+        let mut later = None;
+        for (chosen, known) in self.holders(targets, wanted) {
+            let Some(target) = targets.get(chosen.target) else {
+                continue;
+            };
+            let Some(room) = room_in(group, target, wanted) else {
+                continue;
+            };
+            if room.limit == 0 || chosen.cached < wanted.cost().scale(WORTH_WAITING) {
+                continue;
+            }
+            if known && room.of(wanted.class) >= (wanted.cost() - chosen.cached).0 {
+                return Some(Warm::Now(chosen));
+            }
+            later = later.or(Some(Warm::Later(chosen.target)));
+        }
+        later
+    }
+
     /// The index of cached prefixes.
     pub(crate) fn prefixes(&mut self) -> &mut PrefixIndex {
         &mut self.prefixes
@@ -83,7 +118,7 @@
 
     fn by_affinity(&self, targets: &Targets, group: &Group, wanted: &Wanted<'_>) -> Option<Chosen> {
         let mut best: Option<(f64, Chosen)> = None;
-        for chosen in self.holders(targets, wanted) {
+        for (chosen, _) in self.holders(targets, wanted) {
             let Some(target) = targets.get(chosen.target) else {
                 continue;
             };
@@ -103,7 +138,7 @@
     }
 
     /// Returns the targets that probably hold the longest part of the input.
-    fn holders(&self, targets: &Targets, wanted: &Wanted<'_>) -> SmallVec<[Chosen; 4]> {
+    fn holders(&self, targets: &Targets, wanted: &Wanted<'_>) -> SmallVec<[(Chosen, bool); 4]> {
         let current = |holder: Holder| {
             let target = targets.get(holder.target);
             target.is_some_and(|target| target.generation == holder.generation)
@@ -111,14 +146,13 @@
         let most = wanted.input - Tokens(1);
         let mut holders = SmallVec::new();
         if let Some((holder, cached)) = wanted.home.filter(|&(holder, _)| current(holder)) {
-            holders.push(Chosen {
-                target: holder.target,
-                cached: cached.min(most),
-            });
+            let (target, cached) = (holder.target, cached.min(most));
+            holders.push((Chosen { target, cached }, true));
         }
         let (found, blocks) = self.prefixes.longest(wanted.prefix, current);
         let cached = Tokens(self.block.0.saturating_mul(blocks as u64)).min(most);
-        holders.extend(found.into_iter().map(|target| Chosen { target, cached }));
+        let chosen = |(target, known)| (Chosen { target, cached }, known);
+        holders.extend(found.into_iter().map(chosen));
         holders
     }
 
--- a/crates/ebonylug-routing/src/ledger.rs
+++ b/crates/ebonylug-routing/src/ledger.rs
@@ -7,6 +7,7 @@
 use crate::prefix::Holder;
 use crate::queue::Position;
 use crate::recent::Recent;
+use crate::resting::Rest;
 use crate::target::Send;
 use crate::{Request, RequestKey, TargetKey, VersionKey};
 
@@ -43,6 +44,10 @@
     pub(crate) drawn: Option<(VersionKey, u32)>,
     /// Where the request was preempted, and the tokens that are cached there.
     pub(crate) home: Option<(Holder, Tokens)>,
+    /// The target that the request waits for, while it stands aside.
+    pub(crate) rest: Option<Rest>,
+    /// Until when the request may wait for a target with a warm cache, once that has begun.
+    pub(crate) patience: Option<Instant>,
     /// The request has run in part and must not be reported as not run.
     pub(crate) ran: bool,
 }
--- a/crates/ebonylug-routing/src/lib.rs
+++ b/crates/ebonylug-routing/src/lib.rs
@@ -102,6 +102,7 @@
 mod queue;
 mod recent;
 mod request;
+mod resting;
 mod room;
 mod router;
 mod settings;
--- a/crates/ebonylug-routing/src/poll.rs
+++ b/crates/ebonylug-routing/src/poll.rs
@@ -1,12 +1,13 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use ebonylug_core::{Class, Offer, Reason, Refusal, Tokens};
 use smallvec::SmallVec;
 
-use crate::choice::{Chosen, Wanted};
+use crate::choice::{Chosen, Wanted, Warm};
 use crate::key::Interned;
-use crate::ledger::Stage;
+use crate::ledger::{Entry, Stage};
 use crate::prefix::Holder;
+use crate::resting::Rest;
 use crate::target::Send;
 use crate::workload::bounded_secs;
 use crate::{Action, Actions, Dispatch, RequestKey, RouteKey, Router, TargetKey, VersionKey};
@@ -15,6 +16,12 @@
 /// its deadline even then is given up.
 const BEST_PACE: f64 = 0.5;
 
+/// The longest time that a batch request waits for a target with a warm cache.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// The part of its slack that a batch request spends at most on that, as a divisor.
+const SLACK_PART: u32 = 4;
+
 /// What one pass over the queues has found out. Room only shrinks during a pass, so that what
 /// is blocked stays blocked.
 #[derive(Debug, Default)]
@@ -25,7 +32,8 @@
     /// Interactive requests that found no room, and the targets that are kept for them.
     stuck: SmallVec<[RequestKey; 16]>,
     held: SmallVec<[TargetKey; 16]>,
-    /// Whether a request was given up, so that the next one of its route is to be tried.
+    /// Whether a request was given up or stands aside, so that the next one of its route is to be
+    /// tried.
     dropped: bool,
 }
 
@@ -35,6 +43,7 @@
         self.expire(now);
         self.targets.wake(now);
         self.release_parked(now);
+        self.release_resting(now);
         self.queue.review(now, &self.settings);
         let mut actions = std::mem::take(&mut self.pending);
         let mut pass = Pass::default();
@@ -122,7 +131,7 @@
                     return None;
                 }
                 let dispatch = self.try_one(now, key, pass);
-                if dispatch.is_some() {
+                if dispatch.is_some() || pass.dropped {
                     return dispatch;
                 }
                 let blocked = pass.blocked.iter().filter(|(other, _)| *other == route);
@@ -158,7 +167,20 @@
             if pass.blocked.contains(&(route, version)) {
                 continue;
             }
-            if let Some(chosen) = self.choose(key, version, pass) {
+            let warm = match class {
+                Class::Interactive => None,
+                Class::Batch => self.warm(now, key, version, pass),
+            };
+            let chosen = match warm {
+                Some(Warm::Later(target)) => {
+                    self.rest(key, target);
+                    pass.dropped = true;
+                    return None;
+                }
+                Some(Warm::Now(chosen)) => Some(chosen),
+                None => self.choose(key, version, pass),
+            };
+            if let Some(chosen) = chosen {
                 self.fall_back(key, drawn, version);
                 return Some(self.send(now, key, chosen));
             }
@@ -218,6 +240,77 @@
         }
     }
 
+    /// Looks for a target with a warm cache that a batch request should wait for, or go to.
+    ///
+    /// A prompt that is computed once more costs more than the wait, as long as there is time.
+    fn warm(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        version: VersionKey,
+        pass: &Pass,
+    ) -> Option<Warm> {
+        let entry = self.ledger.entry(key);
+        let wanted = wanted(entry, version, pass);
+        let warm = self.chooser.warm(&self.targets, &wanted)?;
+        if let Warm::Now(_) = warm {
+            return Some(warm);
+        }
+        let until = entry.patience.unwrap_or_else(|| {
+            let pace = self.routes[entry.request.route.index()].pace;
+            let needed = bounded_secs(pace * entry.cost.as_f64());
+            let slack = entry.request.deadline.map_or(PATIENCE, |deadline| {
+                deadline.saturating_duration_since(now + needed)
+            });
+            now + PATIENCE.min(slack / SLACK_PART)
+        });
+        self.ledger.entry_mut(key).patience = Some(until);
+        (until > now).then_some(warm)
+    }
+
+    /// Lets a batch request stand aside until a target has room.
+    fn rest(&mut self, key: RequestKey, target: TargetKey) {
+        let entry = self.ledger.entry_mut(key);
+        self.queue.step_back(entry);
+        let until = entry.patience.expect("who rests has patience");
+        let rest = Rest { target, until };
+        entry.rest = Some(rest);
+        self.resting.insert(key, entry.position, rest);
+    }
+
+    /// Lines up the requests whose target has room or whose time for it is over.
+    fn release_resting(&mut self, now: Instant) {
+        while let Some((end, key)) = self.resting.first_end()
+            && end <= now
+        {
+            self.stop_rest(now, key);
+        }
+        while let Some(target) = self.resting.pop_news() {
+            let room = self.targets.batch_room(target);
+            let mut work = 0_u64;
+            let waiting: SmallVec<[RequestKey; 16]> = self
+                .resting
+                .at(target)
+                .take_while(|&key| {
+                    let fits = room.is_none_or(|room| work < room);
+                    work = work.saturating_add(self.ledger.entry(key).output.0);
+                    fits
+                })
+                .collect();
+            for key in waiting {
+                self.stop_rest(now, key);
+            }
+        }
+    }
+
+    fn stop_rest(&mut self, now: Instant, key: RequestKey) {
+        let entry = self.ledger.entry_mut(key);
+        if let Some(rest) = entry.rest.take() {
+            self.resting.remove(key, entry.position, rest);
+            self.queue.line_up(now, key, entry);
+        }
+    }
+
     /// Returns the version that was drawn for a request, or draws one.
     fn version_of(&mut self, key: RequestKey) -> Option<VersionKey> {
         let entry = self.ledger.entry_mut(key);
@@ -250,22 +343,7 @@
     }
 
     fn choose(&mut self, key: RequestKey, version: VersionKey, pass: &Pass) -> Option<Chosen> {
-        let entry = self.ledger.entry(key);
-        let class = entry.request.tier.class;
-        let wanted = Wanted {
-            class,
-            route: entry.request.route,
-            version,
-            input: entry.input,
-            output: entry.output,
-            prefix: &entry.request.prefix,
-            home: entry.home,
-            barred: if class == Class::Batch {
-                &pass.waiting
-            } else {
-                &[]
-            },
-        };
+        let wanted = wanted(self.ledger.entry(key), version, pass);
         self.chooser.choose(&self.targets, &wanted)
     }
 
@@ -314,7 +392,9 @@
             .report()
             .expect("a target with room has a report")
             .incarnation;
-        self.chooser.prefixes().insert(&request.prefix, holder);
+        self.chooser
+            .prefixes()
+            .insert(&request.prefix, holder, false);
         self.targets.sent(chosen.target, send);
         let attempt = self.ledger.start(key, chosen.target, send);
         let entry = self.ledger.entry(key);
@@ -348,3 +428,20 @@
         }
     }
 }
+
+fn wanted<'a>(entry: &'a Entry, version: VersionKey, pass: &'a Pass) -> Wanted<'a> {
+    let class = entry.request.tier.class;
+    Wanted {
+        class,
+        route: entry.request.route,
+        version,
+        input: entry.input,
+        output: entry.output,
+        prefix: &entry.request.prefix,
+        home: entry.home,
+        barred: match class {
+            Class::Batch => &pass.waiting,
+            Class::Interactive => &[],
+        },
+    }
+}
--- a/crates/ebonylug-routing/src/prefix.rs
+++ b/crates/ebonylug-routing/src/prefix.rs
@@ -26,7 +26,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-struct Holders([Option<Holder>; HOLDERS]);
+struct Holders([Option<(Holder, bool)>; HOLDERS]);
 
 /// Block hashes are uniform already, so they are used as they are.
 #[derive(Debug, Default)]
@@ -39,10 +39,10 @@
         }
     }
 
-    /// Remembers that `holder` has, or will soon have, the prefix.
-    pub(crate) fn insert(&mut self, prefix: &[u64], holder: Holder) {
+    /// Remembers that `holder` has the prefix if it is `known`, and otherwise will soon have it.
+    pub(crate) fn insert(&mut self, prefix: &[u64], holder: Holder, known: bool) {
         for &block in prefix {
-            self.blocks.renew(block).insert(holder);
+            self.blocks.renew(block).insert(holder, known);
         }
     }
 
@@ -55,18 +55,23 @@
         }
     }
 
-    /// Returns the accepted holders of the longest known part, and its length in blocks.
+    /// Returns the accepted holders of the longest known part, with whether they are known to
+    /// have it, and its length in blocks.
     pub(crate) fn longest(
         &self,
         prefix: &[u64],
         accept: impl Fn(Holder) -> bool,
-    ) -> (SmallVec<[TargetKey; HOLDERS]>, usize) {
+    ) -> (SmallVec<[(TargetKey, bool); HOLDERS]>, usize) {
         for (index, block) in prefix.iter().enumerate().rev() {
             let Some(Holders(holders)) = self.blocks.get(block) else {
                 continue;
             };
-            let accepted = holders.iter().flatten().filter(|&&holder| accept(holder));
-            let targets: SmallVec<[TargetKey; HOLDERS]> = accepted.map(|h| h.target).collect();
+            let accepted = holders
+                .iter()
+                .flatten()
+                .filter(|(holder, _)| accept(*holder));
+            let targets: SmallVec<[(TargetKey, bool); HOLDERS]> =
+                accepted.map(|(h, known)| (h.target, *known)).collect();
             if !targets.is_empty() {
                 return (targets, index + 1);
             }
@@ -81,18 +86,19 @@
 
 impl Holders {
     /// Puts the holder first; the one that was named longest ago drops out.
-    fn insert(&mut self, holder: Holder) {
+    fn insert(&mut self, holder: Holder, known: bool) {
         let [first, second] = self.0;
+        let known = known || self.0.contains(&Some((holder, true)));
         let other = match first {
-            Some(first) if first.target == holder.target => second,
+            Some((first, _)) if first.target == holder.target => second,
             first => first,
         };
-        self.0 = [Some(holder), other];
+        self.0 = [Some((holder, known)), other];
     }
 
     fn remove(&mut self, target: TargetKey) {
         for slot in &mut self.0 {
-            if slot.is_some_and(|holder| holder.target == target) {
+            if slot.is_some_and(|(holder, _)| holder.target == target) {
                 *slot = None;
             }
         }
--- a/crates/ebonylug-routing/src/router.rs
+++ b/crates/ebonylug-routing/src/router.rs
@@ -10,6 +10,7 @@
 use crate::ledger::{Entry, Ledger, Stage};
 use crate::prefix::Holder;
 use crate::queue::{Position, Queue};
+use crate::resting::Resting;
 use crate::shares::Shares;
 use crate::targets::Targets;
 use crate::workload::bounded_secs;
@@ -36,6 +37,8 @@
     pub(crate) budget: RetryBudget,
     /// Requests that wait for the retry budget.
     pub(crate) parked: BTreeMap<Position, RequestKey>,
+    /// Batch requests that wait for a target with a warm cache.
+    pub(crate) resting: Resting,
     /// Batch requests with a live attempt.
     pub(crate) batch_sent: usize,
     /// Requests that were given up since the last `poll`.
@@ -72,6 +75,7 @@
             chooser: Chooser::new(&settings, seed),
             budget: RetryBudget::new(&settings),
             parked: BTreeMap::new(),
+            resting: Resting::default(),
             batch_sent: 0,
             pending: Actions::new(),
             organisations: Interner::new(),
@@ -138,6 +142,7 @@
         let Some(info) = self.targets.remove(key) else {
             return;
         };
+        self.resting.note(key);
         for route in &info.routes {
             self.routes[route.index()].targets -= 1;
         }
@@ -146,6 +151,7 @@
     /// Sets whether a target may get work.
     pub fn set_target_state(&mut self, key: TargetKey, state: TargetState) {
         self.targets.set_state(key, state);
+        self.resting.note(key);
     }
 
     /// Scales the limits of the targets in a zone, for interactive and for batch work, by
@@ -185,6 +191,7 @@
     pub fn report(&mut self, now: Instant, target: TargetKey, report: &LoadReport) {
         self.targets
             .apply(now, target, report, self.settings.round_trip);
+        self.resting.note(target);
     }
 
     /// Learns that a request of an organisation produced `output` on a route.
@@ -200,7 +207,7 @@
         let generation = known.generation;
         self.chooser
             .prefixes()
-            .insert(blocks, Holder { target, generation });
+            .insert(blocks, Holder { target, generation }, true);
     }
 
     /// Learns from a cache event that a target has dropped prefix blocks.
@@ -267,7 +274,8 @@
         let deadline = self.queue.first_deadline().map(|(deadline, _)| deadline);
         let pause = self.targets.next_wake();
         let retry = (!self.parked.is_empty()).then(|| self.budget.next(now));
-        [pending, deadline, pause, retry]
+        let rest = self.resting.first_end().map(|(end, _)| end);
+        [pending, deadline, pause, retry, rest]
             .into_iter()
             .flatten()
             .min()
@@ -399,6 +407,9 @@
         let mut entry = self.ledger.end(key)?;
         self.queue.remove(key, &mut entry);
         self.parked.remove(&entry.position);
+        if let Some(rest) = entry.rest.take() {
+            self.resting.remove(key, entry.position, rest);
+        }
         if let Some((version, _)) = entry.drawn
             && !entry.ran
         {
@@ -481,6 +492,8 @@
             refusals: 0,
             drawn: None,
             home: None,
+            rest: None,
+            patience: None,
             ran: request.offset > 0,
             request,
         }
--- a/crates/ebonylug-routing/src/settle.rs
+++ b/crates/ebonylug-routing/src/settle.rs
@@ -19,6 +19,7 @@
         let Some((key, target, send)) = self.ledger.live(attempt) else {
             return Disposition::Ignored;
         };
+        self.resting.note(target);
         match outcome {
             Outcome::Refused(refusal, report) => {
                 self.targets.withdraw(target, send);
@@ -31,6 +32,7 @@
             Outcome::Answered => {
                 self.targets.ended(target, send);
                 self.learn_pace(now, key, send);
+                self.learn_prefix(key, target);
                 self.end_sent(key);
                 Disposition::Ended
             }
@@ -115,6 +117,10 @@
         entry.home = Some((Holder { target, generation }, cached));
         entry.ran = true;
         entry.request.offset += received;
+        entry.patience = None;
+        if received > 0 {
+            self.learn_prefix(key, target);
+        }
         self.unsend(now, key, Tokens(received));
         Disposition::Requeued
     }
@@ -143,6 +149,16 @@
         self.parked.insert(entry.position, key);
     }
 
+    /// Learns that a target has computed the prompt of a request.
+    fn learn_prefix(&mut self, key: RequestKey, target: TargetKey) {
+        if let Some(known) = self.targets.get(target) {
+            let generation = known.generation;
+            let holder = Holder { target, generation };
+            let prefix = &self.ledger.entry(key).request.prefix;
+            self.chooser.prefixes().insert(prefix, holder, true);
+        }
+    }
+
     fn learn_pace(&mut self, now: Instant, key: RequestKey, send: Send) {
         let entry = self.ledger.entry(key);
         let route = entry.request.route;
--- a/crates/ebonylug-routing/src/targets.rs
+++ b/crates/ebonylug-routing/src/targets.rs
@@ -5,7 +5,7 @@
 use slotmap::SlotMap;
 
 use crate::key::Interned;
-use crate::room::RoomTree;
+use crate::room::{Room, RoomTree};
 use crate::target::{Send, Target};
 use crate::{RouteKey, Settings, TargetInfo, TargetKey, TargetState, VersionKey, ZoneKey};
 
@@ -181,6 +181,12 @@
         self.change(key, |target| target.held = false);
     }
 
+    /// Returns the room of a target for batch work, or nothing if the target is gone or closed.
+    pub(crate) fn batch_room(&self, key: TargetKey) -> Option<u64> {
+        let room = self.room(self.arena.get(key)?);
+        (room.limit > 0).then_some(room.batch)
+    }
+
     /// Returns when the next pause ends.
     pub(crate) fn next_wake(&self) -> Option<Instant> {
         self.timers.first().map(|&(until, _)| until)
@@ -196,8 +202,7 @@
     /// Brings the indexes up to date with a target.
     fn refresh(&mut self, key: TargetKey) {
         let target = &self.arena[key];
-        let factors = self.zones.get(target.info.zone.index());
-        let room = target.room(factors.copied().unwrap_or([1.0; 2]));
+        let room = self.room(target);
         for (&route, &place) in target.info.routes.iter().zip(&target.places) {
             let group = self
                 .groups
@@ -212,6 +217,11 @@
         }
     }
 
+    fn room(&self, target: &Target) -> Room {
+        let factors = self.zones.get(target.info.zone.index());
+        target.room(factors.copied().unwrap_or([1.0; 2]))
+    }
+
     /// Removes a member of a group; the last member takes its place.
     fn leave(&mut self, route: RouteKey, version: VersionKey, place: usize) {
         let group = self
