--- a/crates/ebonylug-admission/src/limit.rs
+++ b/crates/ebonylug-admission/src/limit.rs
@@ -127,14 +127,12 @@
 
     /// Reports whether a load is low enough to learn the expected latencies from.
     ///
-    /// In a cold start, only the load from the settings counts, in tokens and in streams: three
-    /// small streams on a target that handles two look like little work and are slow. Latencies at the load that has
+    /// In a cold start, only the load from the settings counts. Latencies at the load that has
     /// been proved since then are a little higher; learning from them would prove a little more
     /// each time, without end.
     pub(crate) fn is_low(&self, settings: &Settings, load: Load) -> bool {
         if self.is_cold() {
-            let few = load.streams <= settings.cold_streams;
-            return few && load.tokens <= settings.cold_limit;
+            return load.tokens <= settings.cold_limit;
         }
         let quarter = Tokens(self.value.0 / 4);
         load.streams <= 1 || load.tokens <= quarter.max(settings.floor)
