--- a/crates/ebonylug-routing/src/poll.rs
+++ b/crates/ebonylug-routing/src/poll.rs
@@ -17,10 +17,10 @@
 const BEST_PACE: f64 = 0.5;
 
 /// The longest time that a batch request waits for a target with a warm cache.
-const PATIENCE: Duration = Duration::from_secs(20);
+const PATIENCE: Duration = Duration::from_secs(10);
 
 /// The part of its slack that a batch request spends at most on that, as a divisor.
-const SLACK_PART: u32 = 2;
+const SLACK_PART: u32 = 4;
 
 /// What one pass over the queues has found out. Room only shrinks during a pass, so that what
 /// is blocked stays blocked.
