--- a/crates/ebonylug-routing/src/poll.rs
+++ b/crates/ebonylug-routing/src/poll.rs
@@ -22,6 +22,10 @@
 /// The part of its slack that a batch request spends at most on that, as a divisor.
 const SLACK_PART: u32 = 4;
 
+/// Requests that line up again after news about the target that they wait for. Without a bound,
+/// each answer would try all that wait, also those whose prompt is still being computed.
+const MOST_WOKEN: usize = 8;
+
 /// What one pass over the queues has found out. Room only shrinks during a pass, so that what
 /// is blocked stays blocked.
 #[derive(Debug, Default)]
@@ -288,6 +292,7 @@
             let waiting: SmallVec<[RequestKey; 16]> = self
                 .resting
                 .at(target)
+                .take(MOST_WOKEN)
                 .take_while(|&key| {
                     let fits = room.is_none_or(|room| work < room);
                     work = work.saturating_add(self.ledger.entry(key).output.0);
