--- a/crates/ebonylug-demo/tests/failures.rs
+++ b/crates/ebonylug-demo/tests/failures.rs
@@ -340,6 +340,11 @@
     let mut statuses = [first, second].map(|answer| answer.expect("the entry answers").status);
     statuses.sort();
     assert_eq!(statuses, [StatusCode::OK, StatusCode::CONFLICT]);
+    // The revision of the loser stays too old, also without a race.
+    for entry in 0..2 {
+        let late = change(entry).await.expect("the entry answers");
+        assert_eq!(late.status, StatusCode::CONFLICT, "entry {entry}");
+    }
 }
 
 /// Guards against an outage of the store that stops the data path, or a change that is accepted
