--- a/crates/ebonylug-demo/tests/failures.rs
+++ b/crates/ebonylug-demo/tests/failures.rs
@@ -504,6 +504,10 @@
     deployment.list();
     let caller = caller(&deployment, 0);
     let operator = operator(&deployment, 0);
+    until("the entry has dropped the other target", async || {
+        reason(&operator, "resources/targets/sisal-2").await == "NotObserved"
+    })
+    .await;
     let urgent = async |number: usize| {
         let prompt = format!("{number}: urgent");
         let answer = caller.chat("sisal", "quotation", &prompt, 4, false).await;
