--- /dev/null
+++ b/crates/ebonylug-direct/src/answer.rs
@@ -0,0 +1,57 @@
+use std::convert::Infallible;
+use std::pin::Pin;
+
+use bytes::Bytes;
+use ebonylug_dispatch::Refusal;
+use futures_util::Stream;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::{Either, Full, StreamBody};
+use hyper::body::Frame;
+
+/// A streamed body. An error breaks off the connection, so that the answer does not look whole.
+type Parts = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, std::io::Error>>>>;
+
+/// The body of an answer.
+pub(crate) type Body = Either<Full<Bytes>, StreamBody<Parts>>;
+
+/// An answer to a caller.
+pub(crate) type Answer = Response<Body>;
+
+pub(crate) type Result<T, E = std::io::Error> = std::result::Result<T, E>;
+
+/// Makes an answer of the entry's own.
+pub(crate) fn own(status: StatusCode, text: &'static str) -> Answer {
+    let mut answer = Response::new(Either::Left(Full::new(Bytes::from_static(text.as_bytes()))));
+    *answer.status_mut() = status;
+    let kind = HeaderValue::from_static("text/plain; charset=utf-8");
+    answer.headers_mut().insert(header::CONTENT_TYPE, kind);
+    answer
+}
+
+/// Makes the answer to a request that did not run.
+pub(crate) fn refused(refusal: Refusal) -> Answer {
+    use ebonylug_dispatch::Reason;
+    let status = match refusal.reason {
+        Reason::Quota => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut answer = own(status, refusal.reason.as_str());
+    let after = format!("{:.2}", refusal.after.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&after) {
+        answer.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    answer
+}
+
+/// Makes a streamed body.
+pub(crate) fn streamed<S>(parts: S) -> Body
+where
+    S: Stream<Item = Result<Bytes>> + 'static,
+{
+    use futures_util::StreamExt;
+    let frames = parts.map(|part| part.map(Frame::data));
+    Either::Right(StreamBody::new(Box::pin(frames)))
+}
+
+/// The result of a handler, as the server wants it.
+pub(crate) type Served = std::result::Result<Answer, Infallible>;
--- /dev/null
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -0,0 +1,423 @@
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ebonylug_core::{Clock, Name};
+use ebonylug_dispatch::{
+    Ask, Asked, Config, Decision, Freshness, Gossip, Outcome, Peers, Quotas, Reason, Refusal,
+    RetryBudget, Running, Scheduler, Target, TargetKey, WaitKey,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::oneshot;
+
+use crate::dialect::Dialect;
+use crate::pool::Pool;
+use crate::uptime::Uptime;
+
+/// What an entry is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The name of this entry.
+    pub name: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// How old the configuration may be for keys to be accepted.
+    pub key_age: Duration,
+    /// Retries: the share of requests, the constant over all entries, and the window.
+    pub retries: (f64, f64, Duration),
+    /// Time from the signal to stop until the process must have ended.
+    pub grace: Duration,
+    /// Bytes of request bodies that are held at once.
+    pub body_memory: usize,
+}
+
+/// The state of an entry. All of it is used by one thread.
+pub struct Entry {
+    pub(crate) settings: Settings,
+    pub(crate) dialect: Dialect,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) uptime: Box<dyn Uptime>,
+    pub(crate) pool: Pool,
+    pub(crate) body_bytes: Cell<usize>,
+    pub(crate) stopping: Cell<bool>,
+    pub(crate) active: Cell<usize>,
+    state: RefCell<State>,
+    boot: u64,
+}
+
+struct State {
+    config: Option<Rc<Config>>,
+    scheduler: Scheduler,
+    quotas: Quotas,
+    budgets: HashMap<Name, RetryBudget>,
+    freshness: Freshness,
+    peers: Peers,
+    waiters: HashMap<WaitKey, oneshot::Sender<Result<Grant, Refusal>>>,
+    rng: ChaCha8Rng,
+    sequence: u64,
+    targets_known: bool,
+}
+
+impl Entry {
+    /// Creates an entry without configuration and targets.
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        dialect: Dialect,
+        clock: Arc<dyn Clock>,
+        uptime: Box<dyn Uptime>,
+        seed: u64,
+    ) -> Rc<Self> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let boot = rng.random();
+        let scheduler = Scheduler::new(ebonylug_dispatch::Settings::default(), rng.random());
+        let state = State {
+            config: None,
+            scheduler,
+            quotas: Quotas::default(),
+            budgets: HashMap::new(),
+            freshness: Freshness::new(settings.key_age),
+            peers: Peers::default(),
+            waiters: HashMap::new(),
+            rng,
+            sequence: 0,
+            targets_known: false,
+        };
+        Rc::new(Entry {
+            settings,
+            dialect,
+            clock,
+            uptime,
+            pool: Pool::default(),
+            body_bytes: Cell::new(0),
+            stopping: Cell::new(false),
+            active: Cell::new(0),
+            state: RefCell::new(state),
+            boot,
+        })
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.state.borrow().config.clone()
+    }
+
+    /// Puts a configuration in force, unless it is older than the current one.
+    pub fn apply(&self, config: Config) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let current = state.config.as_ref().map_or(0, |config| config.version);
+        if config.version <= current {
+            return;
+        }
+        tracing::info!(
+            part = "config",
+            version = config.version,
+            before = current,
+            "configuration in force"
+        );
+        let standing = state.peers.standing(now);
+        state.quotas.update(now, &config, standing);
+        for service in config.services() {
+            state
+                .scheduler
+                .set_cold(service.name.clone(), service.cold_rate, service.cold_time);
+        }
+        state.config = Some(Rc::new(config));
+    }
+
+    /// Notes that the configuration in force was current at `time` of the uptime clock.
+    pub fn confirm(&self, time: Duration) {
+        self.state.borrow_mut().freshness.confirm(time);
+    }
+
+    /// Reports whether keys may be accepted.
+    pub(crate) fn is_fresh(&self) -> bool {
+        let now = self.uptime.uptime();
+        self.state.borrow().freshness.is_fresh(now)
+    }
+
+    /// Reports whether the entry can serve callers.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        let keyed = state.config.as_ref().is_some_and(|config| config.has_keys());
+        let fresh = !keyed || state.freshness.is_fresh(self.uptime.uptime());
+        !self.stopping.get() && state.config.is_some() && state.targets_known && fresh
+    }
+
+    /// Adds a target or takes over what has changed about it.
+    pub fn put_target(self: &Rc<Self>, target: Target) {
+        let now = self.clock.now();
+        self.state.borrow_mut().scheduler.put_target(now, target);
+        self.pump();
+    }
+
+    /// Removes a target.
+    pub fn remove_target(&self, name: &Name) {
+        self.state.borrow_mut().scheduler.remove_target(name);
+    }
+
+    /// Replaces all targets by a list.
+    pub fn set_targets(self: &Rc<Self>, targets: Vec<Target>) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let listed: HashSet<Name> = targets.iter().map(|target| target.name.clone()).collect();
+        let gone: Vec<Name> = state
+            .scheduler
+            .names()
+            .filter(|name| !listed.contains(*name))
+            .cloned()
+            .collect();
+        for name in gone {
+            state.scheduler.remove_target(&name);
+        }
+        for target in targets {
+            state.scheduler.put_target(now, target);
+        }
+        state.targets_known = true;
+        drop(state);
+        self.pump();
+    }
+
+    /// Sets the availability zones that get nothing.
+    pub fn set_evacuated(&self, zones: HashSet<Name>) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        state.scheduler.set_evacuated(now, zones);
+    }
+
+    /// Sets the versions that get nothing, by service.
+    pub fn set_barred(&self, versions: HashMap<Name, Box<str>>) {
+        self.state.borrow_mut().scheduler.set_barred(versions);
+    }
+
+    /// Draws a random number.
+    pub(crate) fn draw(&self) -> u64 {
+        self.state.borrow_mut().rng.random()
+    }
+
+    /// Returns what is listed about a target.
+    pub(crate) fn target(&self, key: TargetKey) -> Option<Target> {
+        self.state.borrow().scheduler.target(key).cloned()
+    }
+
+    /// Takes tokens out of an organisation's quota.
+    pub(crate) fn take_quota(&self, organisation: &Name, tokens: f64) -> Result<(), Refusal> {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let standing = state.peers.standing(now);
+        state
+            .quotas
+            .take(now, organisation, tokens, standing)
+            .map_err(|after| Refusal {
+                reason: Reason::Quota,
+                after,
+            })
+    }
+
+    /// Gives back tokens of a request that did not run.
+    pub(crate) fn give_back_quota(&self, organisation: &Name, tokens: f64) {
+        let mut state = self.state.borrow_mut();
+        state.quotas.give_back(organisation, tokens);
+    }
+
+    /// Counts a request's first send to a service.
+    pub(crate) fn count_request(&self, service: &Name) {
+        let now = self.clock.now();
+        self.with_budget(service, |budget| budget.request(now));
+    }
+
+    /// Takes one repeated send out of the budget of a service.
+    pub(crate) fn take_retry(&self, service: &Name) -> bool {
+        let now = self.clock.now();
+        self.with_budget(service, |budget| budget.take(now))
+    }
+
+    fn with_budget<T>(&self, service: &Name, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let (ratio, constant, window) = self.settings.retries;
+        let mut state = self.state.borrow_mut();
+        let entries = state.peers.standing(self.clock.now()).known as f64;
+        let budget = state
+            .budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(ratio, constant, window));
+        budget.set_constant(constant / entries);
+        f(budget)
+    }
+
+    /// Waits until a target may be used.
+    pub(crate) async fn grant(self: &Rc<Self>, ask: Ask) -> Result<Grant, Refusal> {
+        let now = self.clock.now();
+        let asked = self.state.borrow_mut().scheduler.ask(now, ask);
+        let key = match asked {
+            Asked::Send(target) => return Ok(Grant::new(self, target)),
+            Asked::Refuse(refusal) => return Err(refusal),
+            Asked::Wait(key) => key,
+        };
+        let (sender, receiver) = oneshot::channel();
+        self.state.borrow_mut().waiters.insert(key, sender);
+        let _ticket = Ticket {
+            entry: Rc::clone(self),
+            key,
+        };
+        let refused = Refusal {
+            reason: Reason::Full,
+            after: Duration::from_millis(500),
+        };
+        receiver.await.unwrap_or(Err(refused))
+    }
+
+    /// Carries out decisions about requests that wait.
+    pub fn pump(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        if state.scheduler.waiting() == 0 {
+            return;
+        }
+        let mut ready = Vec::new();
+        for (key, decision) in state.scheduler.poll(now) {
+            ready.push((state.waiters.remove(&key), decision));
+        }
+        drop(state);
+        for (sender, decision) in ready {
+            let answer = match decision {
+                Decision::Send(target) => Ok(Grant::new(self, target)),
+                Decision::Refuse(refusal) => Err(refusal),
+            };
+            // A receiver that is gone drops the grant, which frees the target.
+            if let Some(sender) = sender {
+                let _ = sender.send(answer);
+            }
+        }
+    }
+
+    /// Notes that a target says that it is cold.
+    pub(crate) fn note_cold(&self, target: TargetKey, time: Duration) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        state.scheduler.is_cold(now, target, time);
+    }
+
+    /// Makes the next message to the other entries.
+    pub(crate) fn gossip(&self) -> Gossip {
+        let mut state = self.state.borrow_mut();
+        state.sequence += 1;
+        let running = state.scheduler.own().map(|(target, requests)| Running {
+            target,
+            requests: u16::try_from(requests).unwrap_or(u16::MAX),
+            failures: 0,
+        });
+        Gossip {
+            entry: self.settings.name.as_str().into(),
+            boot: self.boot,
+            sequence: state.sequence,
+            config: state.config.as_ref().map_or(0, |config| config.version),
+            leaving: self.stopping.get(),
+            used: state.quotas.used().collect(),
+            running: running.collect(),
+        }
+    }
+
+    /// Takes in a message of another entry. Returns whether the entry was not known before.
+    pub(crate) fn hear(self: &Rc<Self>, gossip: Gossip) -> bool {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let Some(news) = state.peers.hear(now, gossip) else {
+            return false;
+        };
+        for (organisation, tokens) in news.used {
+            state.quotas.used_elsewhere(organisation, tokens);
+        }
+        self.refresh_peers(&mut state);
+        drop(state);
+        self.pump();
+        news.joined
+    }
+
+    /// Notes an entry that the platform's table lists.
+    pub(crate) fn list_peer(&self, name: Name) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        state.peers.list(now, name);
+        self.refresh_peers(&mut state);
+    }
+
+    /// Forgets entries that were not heard for long.
+    pub(crate) fn expire_peers(&self) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        state.peers.expire(now);
+        self.refresh_peers(&mut state);
+    }
+
+    fn refresh_peers(&self, state: &mut State) {
+        let now = self.clock.now();
+        let running = state.peers.running(now);
+        state.scheduler.set_others(&running);
+        let entries = state.peers.standing(now).known;
+        state.scheduler.set_entries(entries);
+    }
+}
+
+/// Withdraws a request that waits when its future is dropped.
+struct Ticket {
+    entry: Rc<Entry>,
+    key: WaitKey,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let mut state = self.entry.state.borrow_mut();
+        state.waiters.remove(&self.key);
+        state.scheduler.withdraw(self.key);
+    }
+}
+
+/// A place at a target. Dropping it frees the place.
+pub(crate) struct Grant {
+    entry: Rc<Entry>,
+    target: TargetKey,
+    outcome: Cell<Outcome>,
+    pace: Cell<Option<f64>>,
+}
+
+impl Grant {
+    fn new(entry: &Rc<Entry>, target: TargetKey) -> Self {
+        Grant {
+            entry: Rc::clone(entry),
+            target,
+            outcome: Cell::new(Outcome::Withdrawn),
+            pace: Cell::new(None),
+        }
+    }
+
+    pub(crate) fn target(&self) -> TargetKey {
+        self.target
+    }
+
+    /// Sets what the attempt showed about the target.
+    pub(crate) fn note(&self, outcome: Outcome) {
+        self.outcome.set(outcome);
+    }
+
+    /// Sets the time for each unit of work, in seconds.
+    pub(crate) fn set_pace(&self, pace: f64) {
+        self.pace.set(Some(pace));
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let now = self.entry.clock.now();
+        let mut state = self.entry.state.borrow_mut();
+        let (outcome, pace) = (self.outcome.get(), self.pace.get());
+        state.scheduler.ended(now, self.target, outcome, pace);
+        drop(state);
+        self.entry.pump();
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -0,0 +1,335 @@
+//! The life of one request: route, key, quota, targets, answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonylug_core::Name;
+use ebonylug_dispatch::{Ask, Kind, Reason, Refusal, TargetKey};
+use futures_util::stream;
+use http::{Request, Response, StatusCode};
+use http_body_util::{Either, Full};
+use hyper::body::Incoming;
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::answer::{self, Answer, Served};
+use crate::attempt::{self, Failure, Opened};
+use crate::entry::Entry;
+use crate::request::{self, Call};
+use crate::stream::EventStream;
+
+/// Sends after proof that a request did not run, beside the attempts that the route allows.
+const MAX_UNRUN: u32 = 3;
+/// Time that must be left for a send to make sense.
+const MIN_LEFT: Duration = Duration::from_millis(30);
+
+/// Counts a request as active until it is dropped.
+struct Active(Rc<Entry>);
+
+impl Active {
+    fn new(entry: &Rc<Entry>) -> Self {
+        entry.active.set(entry.active.get() + 1);
+        Active(Rc::clone(entry))
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+    }
+}
+
+/// Answers a request of a caller.
+pub(crate) async fn handle(entry: Rc<Entry>, request: Request<Incoming>) -> Served {
+    let active = Active::new(&entry);
+    let mut answer = match serve(&entry, request, active).await {
+        Ok(answer) => answer,
+        Err(rejected) => *rejected,
+    };
+    if entry.stopping.get() {
+        let close = http::HeaderValue::from_static("close");
+        answer.headers_mut().insert(http::header::CONNECTION, close);
+    }
+    Ok(answer)
+}
+
+fn refuse(reason: Reason, after: Duration) -> request::Rejected {
+    Box::new(answer::refused(Refusal { reason, after }))
+}
+
+async fn serve(
+    entry: &Rc<Entry>,
+    request: Request<Incoming>,
+    active: Active,
+) -> request::Result<Answer> {
+    let Some(config) = entry.config() else {
+        return Err(refuse(Reason::NoConfig, Duration::from_millis(500)));
+    };
+    let (parts, body) = request.into_parts();
+    // What an old configuration does not know, a newer one may; so freshness is checked first.
+    let fresh = entry.is_fresh();
+    let resolved = match request::resolve(&config, &parts) {
+        Ok(resolved) => resolved,
+        Err(_) if !fresh => return Err(refuse(Reason::Stale, Duration::from_secs(1))),
+        Err(rejected) => return Err(rejected),
+    };
+    if resolved.organisation.is_some() && !fresh {
+        return Err(refuse(Reason::Stale, Duration::from_secs(1)));
+    }
+    let call = request::read(entry, &config, parts, body, resolved).await?;
+    let quota = take_quota(entry, &call)?;
+    let (service, model) = match call.route.service(entry.draw()) {
+        Some(name) => {
+            let model = config.service(name.as_str()).is_some_and(|s| s.slots > 0);
+            (name.clone(), model)
+        }
+        None => return Err(refuse(Reason::NoTarget, Duration::from_secs(1))),
+    };
+    let mut job = Job {
+        entry: Rc::clone(entry),
+        call,
+        service,
+        model,
+        tried: SmallVec::new(),
+        ran: 0,
+        unrun: 0,
+        quota,
+        _active: active,
+    };
+    match job.first().await {
+        Ok(Begun::Whole(head, body)) => {
+            let mut answer = Response::new(Either::Left(Full::new(body)));
+            *answer.status_mut() = head.status;
+            *answer.headers_mut() = request::returned(&head.headers);
+            Ok(answer)
+        }
+        Ok(Begun::Stream(opened, events)) => Ok(stream_answer(job, *opened, events)),
+        Err(rejected) => {
+            if job.ran == 0 {
+                job.give_back();
+            }
+            Err(rejected)
+        }
+    }
+}
+
+fn stream_answer(job: Job, opened: Opened, first: EventStream) -> Answer {
+    let mut answer = Response::new(Either::Left(Full::default()));
+    *answer.status_mut() = opened.head.status;
+    *answer.headers_mut() = request::returned(&opened.head.headers);
+    let state = first.with(job, opened);
+    let parts = stream::unfold(Some(state), |state| async {
+        let mut state = state?;
+        match state.next().await {
+            Some(Ok(bytes)) => Some((Ok(bytes), Some(state))),
+            Some(Err(error)) => Some((Err(error), None)),
+            None => None,
+        }
+    });
+    *answer.body_mut() = answer::streamed(parts);
+    answer
+}
+
+fn take_quota(entry: &Entry, call: &Call) -> request::Result<Option<(Name, f64)>> {
+    let Some(organisation) = &call.organisation else {
+        return Ok(None);
+    };
+    let tokens = match call.tokens(&entry.dialect) {
+        Some((prompt, answer)) => (prompt + answer) as f64,
+        None => f64::from(organisation.plain_tokens),
+    };
+    let name = organisation.name.clone();
+    match entry.take_quota(&name, tokens) {
+        Ok(()) => Ok(Some((name, tokens))),
+        Err(refusal) => Err(Box::new(answer::refused(refusal))),
+    }
+}
+
+/// A request on its way through its attempts.
+pub(crate) struct Job {
+    pub(crate) entry: Rc<Entry>,
+    pub(crate) call: Call,
+    service: Name,
+    model: bool,
+    tried: SmallVec<[TargetKey; 2]>,
+    /// Attempts that may have run.
+    ran: u32,
+    /// Attempts that did not run.
+    unrun: u32,
+    quota: Option<(Name, f64)>,
+    _active: Active,
+}
+
+/// An answer that can be passed on.
+enum Begun {
+    Whole(http::response::Parts, Bytes),
+    Stream(Box<Opened>, EventStream),
+}
+
+impl Job {
+    fn ask(&self) -> Ask {
+        let left = self.call.limit.saturating_duration_since(Instant::now());
+        let waited = self.call.arrived.elapsed();
+        // Half of the aim is left for the target itself.
+        let patience = (self.call.route.aim / 2).saturating_sub(waited);
+        Ask {
+            service: self.service.clone(),
+            rank: self.call.rank(),
+            subject: self.call.subject(&self.entry.dialect),
+            tried: self.tried.clone(),
+            patience: patience.min(left),
+            model: self.model,
+        }
+    }
+
+    fn give_back(&mut self) {
+        if let Some((name, tokens)) = self.quota.take() {
+            self.entry.give_back_quota(&name, tokens);
+        }
+    }
+
+    /// Runs attempts until one gives an answer.
+    async fn first(&mut self) -> request::Result<Begun> {
+        self.entry.count_request(&self.service);
+        loop {
+            let grant = match self.entry.grant(self.ask()).await {
+                Ok(grant) => grant,
+                Err(refusal) if self.ran == 0 => return Err(Box::new(answer::refused(refusal))),
+                Err(_) => return Err(bad_gateway()),
+            };
+            let target = grant.target();
+            let attempt = attempt::open(&self.entry, &self.call, grant, None).await;
+            let begun = match attempt {
+                Ok(opened) => self.begin(opened).await,
+                Err(failure) => Err(failure),
+            };
+            self.tried.push(target);
+            let failure = match begun {
+                Ok(Begun::Whole(head, body)) if self.is_worth_another(&head) => {
+                    // The failure is a final answer if no other target can be tried.
+                    self.ran += 1;
+                    if !self.may_repeat() {
+                        return Ok(Begun::Whole(head, body));
+                    }
+                    continue;
+                }
+                Ok(begun) => {
+                    self.ran += 1;
+                    return Ok(begun);
+                }
+                Err(failure) => failure,
+            };
+            self.after(failure)?;
+        }
+    }
+
+    async fn begin(&self, opened: Opened) -> attempt::Result<Begun> {
+        let stream = self.call.route.kind.is_stream() && opened.head.status.is_success();
+        if stream {
+            let mut opened = opened;
+            let events = EventStream::first(&mut opened, self.call.limit).await?;
+            return Ok(Begun::Stream(Box::new(opened), events));
+        }
+        let (head, body) = opened.whole(&self.entry, self.call.limit).await?;
+        Ok(Begun::Whole(head, body))
+    }
+
+    /// Decides what follows a failed attempt: `Ok` for another one, or the final answer.
+    fn after(&mut self, failure: Failure) -> request::Result<()> {
+        let (ran, status) = match &failure {
+            Failure::Unsent(_) => (false, StatusCode::SERVICE_UNAVAILABLE),
+            Failure::NotRun(status) => (false, *status),
+            Failure::Unknown(_) => (true, StatusCode::BAD_GATEWAY),
+            Failure::Late => (true, StatusCode::GATEWAY_TIMEOUT),
+        };
+        tracing::info!(
+            part = "attempt",
+            request = self.call.id.to_str().unwrap_or_default(),
+            route = %self.call.route.name,
+            ?failure,
+            ran,
+            attempts = self.tried.len(),
+            "attempt failed"
+        );
+        if ran {
+            self.ran += 1;
+        } else {
+            self.unrun += 1;
+        }
+        let again = match failure {
+            Failure::Late => false,
+            Failure::Unknown(_) => self.call.route.kind.is_idempotent() && self.may_repeat(),
+            Failure::Unsent(_) => self.unrun < MAX_UNRUN && self.has_time(),
+            Failure::NotRun(_) => self.unrun < MAX_UNRUN && self.may_repeat(),
+        };
+        if again {
+            return Ok(());
+        }
+        Err(match (self.ran, status) {
+            (0, _) => refuse(Reason::Rejected, Duration::from_millis(300)),
+            (_, StatusCode::GATEWAY_TIMEOUT) => Box::new(answer::own(
+                StatusCode::GATEWAY_TIMEOUT,
+                "no answer in time",
+            )),
+            _ => bad_gateway(),
+        })
+    }
+
+    /// Reports whether a target's failure should be tried again elsewhere.
+    fn is_worth_another(&self, head: &http::response::Parts) -> bool {
+        head.status.is_server_error() && self.call.route.kind.is_idempotent()
+    }
+
+    /// Reports whether another target may get the request, and takes that out of the budget.
+    pub(crate) fn may_repeat(&self) -> bool {
+        let sends = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        sends < self.call.route.attempts && self.has_time() && self.entry.take_retry(&self.service)
+    }
+
+    fn has_time(&self) -> bool {
+        Instant::now() + MIN_LEFT < self.call.limit
+    }
+
+    /// Opens the stream at another target, after the last event that was passed on.
+    pub(crate) async fn resume(
+        &mut self,
+        last: Option<&http::HeaderValue>,
+    ) -> Option<Opened> {
+        let Kind::Stream {
+            resumable: true, ..
+        } = self.call.route.kind
+        else {
+            return None;
+        };
+        while self.may_repeat() {
+            let grant = self.entry.grant(self.ask_again()).await.ok()?;
+            self.tried.push(grant.target());
+            match attempt::open(&self.entry, &self.call, grant, last).await {
+                Ok(opened) if opened.head.status.is_success() => return Some(opened),
+                Ok(_) => {}
+                Err(failure) => tracing::info!(
+                    part = "attempt",
+                    request = self.call.id.to_str().unwrap_or_default(),
+                    ?failure,
+                    "resume failed"
+                ),
+            }
+        }
+        None
+    }
+
+    fn ask_again(&self) -> Ask {
+        /// A stream that broke is worth little after a longer pause.
+        const RESUME_PATIENCE: Duration = Duration::from_millis(200);
+        Ask {
+            patience: RESUME_PATIENCE,
+            rank: 0,
+            ..self.ask()
+        }
+    }
+}
+
+fn bad_gateway() -> request::Rejected {
+    Box::new(answer::own(StatusCode::BAD_GATEWAY, "no answer of a target"))
+}
--- /dev/null
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -0,0 +1,123 @@
+//! Exchanges what entries know, in datagrams.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bincode::Options;
+use ebonylug_core::Name;
+use ebonylug_dispatch::Gossip;
+use tokio::net::UdpSocket;
+
+use crate::entry::Entry;
+
+/// Time between two messages to each other entry. What an entry knows of the load at a target is as
+/// old as this.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Bytes of a datagram.
+const MAX_BYTES: usize = 60_000;
+
+/// The other entries, and the socket to talk to them.
+pub struct Exchange {
+    entry: Rc<Entry>,
+    socket: UdpSocket,
+    addresses: RefCell<HashMap<Name, SocketAddr>>,
+}
+
+impl Exchange {
+    /// Opens the socket.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be used.
+    pub async fn bind(entry: Rc<Entry>, address: SocketAddr) -> std::io::Result<Rc<Self>> {
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Rc::new(Exchange {
+            entry,
+            socket,
+            addresses: RefCell::default(),
+        }))
+    }
+
+    /// Adds another entry that the platform's table lists.
+    pub fn add(&self, name: Name, address: SocketAddr) {
+        if name == self.entry.settings.name {
+            return;
+        }
+        self.entry.list_peer(name.clone());
+        self.addresses.borrow_mut().insert(name, address);
+    }
+
+    /// Sends messages for ever.
+    pub async fn send(self: Rc<Self>) {
+        let mut interval = tokio::time::interval(INTERVAL);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            self.entry.expire_peers();
+            self.entry.pool.expire();
+            self.tell().await;
+        }
+    }
+
+    /// Sends one message to each other entry.
+    pub async fn tell(&self) {
+        let gossip = self.entry.gossip();
+        let bytes = match codec().serialize(&gossip) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::error!(part = "peers", %error, "a message cannot be written");
+                return;
+            }
+        };
+        let addresses: Vec<SocketAddr> = self.addresses.borrow().values().copied().collect();
+        for address in addresses {
+            // Each message states totals, so a lost one does no harm.
+            if let Err(error) = self.socket.send_to(&bytes, address).await {
+                tracing::debug!(part = "peers", %address, %error, "a message was not sent");
+            }
+        }
+    }
+
+    /// Receives messages for ever.
+    pub async fn receive(self: Rc<Self>) {
+        let mut buffer = vec![0; MAX_BYTES];
+        loop {
+            let (length, from) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    tracing::debug!(part = "peers", %error, "cannot receive");
+                    continue;
+                }
+            };
+            match codec().deserialize::<Gossip>(&buffer[..length]) {
+                Ok(gossip) => self.hear(gossip, from),
+                Err(error) => tracing::warn!(part = "peers", %from, %error, "unreadable message"),
+            }
+        }
+    }
+
+    fn hear(&self, gossip: Gossip, from: SocketAddr) {
+        let name = Name::new(&gossip.entry);
+        if name == self.entry.settings.name {
+            return;
+        }
+        let leaving = gossip.leaving;
+        let joined = self.entry.hear(gossip);
+        let mut addresses = self.addresses.borrow_mut();
+        if leaving {
+            addresses.remove(&name);
+        } else {
+            if joined {
+                tracing::info!(part = "peers", peer = %name, address = %from, "entry joined");
+            }
+            addresses.insert(name, from);
+        }
+    }
+}
+
+fn codec() -> impl Options {
+    bincode::DefaultOptions::new().with_limit(MAX_BYTES as u64)
+}
--- /dev/null
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -0,0 +1,172 @@
+use bytes::Bytes;
+use ebonylug_dispatch::Outcome;
+use http::HeaderValue;
+use http_body_util::BodyExt;
+use tokio::time::Instant;
+
+use crate::answer::Result;
+use crate::attempt::{self, Failure, Opened};
+use crate::events::{Splitter, ids, number};
+use crate::forward::Job;
+
+/// The events of one answer, which may come from several targets in turn.
+pub(crate) struct EventStream {
+    splitter: Splitter,
+    /// Whole events that wait to be passed on.
+    ready: Option<Bytes>,
+    last: Option<u64>,
+    count: u32,
+    begun: Instant,
+}
+
+/// What the next part of a body is.
+enum Part {
+    Events(Bytes),
+    End,
+    Broken(Box<str>),
+    Late,
+}
+
+impl EventStream {
+    /// Waits for the first whole event.
+    pub(crate) async fn first(opened: &mut Opened, limit: Instant) -> attempt::Result<Self> {
+        let mut events = EventStream {
+            splitter: Splitter::default(),
+            ready: None,
+            last: None,
+            count: 0,
+            begun: Instant::now(),
+        };
+        match events.part(opened, limit).await {
+            Part::Events(bytes) => {
+                events.begun = Instant::now();
+                events.ready = Some(bytes);
+                Ok(events)
+            }
+            Part::End => {
+                events.ready = Some(Bytes::new());
+                Ok(events)
+            }
+            Part::Broken(error) => {
+                opened.grant.note(Outcome::Broken);
+                Err(Failure::Unknown(error))
+            }
+            Part::Late => {
+                opened.grant.note(Outcome::Broken);
+                Err(Failure::Late)
+            }
+        }
+    }
+
+    async fn part(&mut self, opened: &mut Opened, limit: Instant) -> Part {
+        loop {
+            let Ok(frame) = tokio::time::timeout_at(limit, opened.body.frame()).await else {
+                return Part::Late;
+            };
+            let bytes = match frame {
+                None if self.splitter.is_empty() => return Part::End,
+                None => return Part::Broken("the answer ends within an event".into()),
+                Some(Err(error)) => return Part::Broken(error.to_string().into()),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(bytes) => bytes,
+                    Err(_) => continue,
+                },
+            };
+            let Some(events) = self.splitter.push(bytes) else {
+                continue;
+            };
+            return match self.check(&events) {
+                true => Part::Events(events),
+                false => Part::Broken("events are missing or out of order".into()),
+            };
+        }
+    }
+
+    /// Checks that events follow each other without a gap.
+    fn check(&mut self, events: &[u8]) -> bool {
+        for id in ids(events) {
+            let Some(id) = number(id) else {
+                return false;
+            };
+            if self.last.is_some_and(|last| id != last + 1) {
+                return false;
+            }
+            self.last = Some(id);
+            self.count += 1;
+        }
+        true
+    }
+
+    /// Adds what is needed to go on.
+    pub(crate) fn with(self, job: Job, opened: Opened) -> Passing {
+        Passing {
+            job,
+            opened: Some(opened),
+            events: self,
+        }
+    }
+}
+
+/// A stream that is passed on to its caller.
+pub(crate) struct Passing {
+    job: Job,
+    opened: Option<Opened>,
+    events: EventStream,
+}
+
+impl Passing {
+    /// Returns the next whole events; `None` after the last one.
+    pub(crate) async fn next(&mut self) -> Option<Result<Bytes>> {
+        if let Some(ready) = self.events.ready.take().filter(|ready| !ready.is_empty()) {
+            return Some(Ok(ready));
+        }
+        loop {
+            let mut opened = self.opened.take()?;
+            let part = self.events.part(&mut opened, self.job.call.limit).await;
+            let error = match part {
+                Part::Events(bytes) => {
+                    self.opened = Some(opened);
+                    return Some(Ok(bytes));
+                }
+                Part::End => {
+                    self.end(opened);
+                    return None;
+                }
+                Part::Late => {
+                    opened.grant.note(Outcome::Withdrawn);
+                    return Some(Err(std::io::Error::other("the time limit has passed")));
+                }
+                Part::Broken(error) => error,
+            };
+            opened.grant.note(Outcome::Broken);
+            drop(opened);
+            tracing::info!(
+                part = "stream",
+                request = self.job.call.id.to_str().unwrap_or_default(),
+                last = self.events.last,
+                %error,
+                "stream broke"
+            );
+            if !self.resume().await {
+                return Some(Err(std::io::Error::other(String::from(error))));
+            }
+        }
+    }
+
+    async fn resume(&mut self) -> bool {
+        let last = self.events.last.map(HeaderValue::from);
+        let resumed = self.job.resume(last.as_ref()).await;
+        self.events.splitter = Splitter::default();
+        self.opened = resumed;
+        self.opened.is_some()
+    }
+
+    fn end(&mut self, opened: Opened) {
+        opened.grant.note(Outcome::Answered);
+        if self.events.count > 1 {
+            let time = self.events.begun.elapsed().as_secs_f64();
+            opened.grant.set_pace(time / f64::from(self.events.count - 1));
+        }
+        self.job.entry.pool.give_back(opened.lease);
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -0,0 +1,146 @@
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use ebonylug_core::Name;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::quota::Standing;
+
+/// An entry that was not heard for this long is left out of the load of targets and counts as
+/// unheard. Four messages may be lost.
+const HEARD: Duration = Duration::from_millis(600);
+/// An entry that was not heard for this long is gone. Partitions are shorter, mostly.
+const KNOWN: Duration = Duration::from_secs(30);
+
+/// Requests of one entry at one target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Running {
+    /// The hash of the target's name.
+    pub target: u64,
+    /// Requests that were sent and have not ended.
+    pub requests: u16,
+    /// Failures of the last seconds, in a row.
+    pub failures: u16,
+}
+
+/// What an entry tells the others, several times per second. Each message states totals, so that a
+/// lost one does no harm.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// The name of the entry.
+    pub entry: Box<str>,
+    /// Drawn at each start.
+    pub boot: u64,
+    /// Rises with each message of a boot.
+    pub sequence: u64,
+    /// The version of its configuration.
+    pub config: u64,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// Tokens used by each organisation since the boot, by hash of its name.
+    pub used: Vec<(u64, f64)>,
+    /// Its requests at targets.
+    pub running: Vec<Running>,
+}
+
+/// What an accepted message changes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct News {
+    /// Tokens that were used since the last message, by organisation.
+    pub used: SmallVec<[(u64, f64); 8]>,
+    /// Whether the entry was not known before.
+    pub joined: bool,
+}
+
+#[derive(Debug)]
+struct Peer {
+    boot: u64,
+    sequence: u64,
+    heard: Instant,
+    used: HashMap<u64, f64>,
+    running: Vec<Running>,
+}
+
+/// What the other entries have told.
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: HashMap<Name, Peer>,
+    /// Entries that the platform's table lists and that were never heard.
+    listed: HashMap<Name, Instant>,
+}
+
+impl Peers {
+    /// Notes an entry that the platform's table lists.
+    pub fn list(&mut self, now: Instant, entry: Name) {
+        if !self.peers.contains_key(&entry) {
+            self.listed.entry(entry).or_insert(now);
+        }
+    }
+
+    /// Takes in a message, unless it is older than one of the same boot.
+    pub fn hear(&mut self, now: Instant, gossip: Gossip) -> Option<News> {
+        let entry = Name::new(&gossip.entry);
+        self.listed.remove(&entry);
+        if gossip.leaving {
+            self.peers.remove(&entry);
+            return None;
+        }
+        let mut news = News::default();
+        let known = self.peers.get(&entry).filter(|peer| peer.boot == gossip.boot);
+        match known {
+            Some(peer) if peer.sequence >= gossip.sequence => return None,
+            Some(peer) => {
+                for &(organisation, total) in &gossip.used {
+                    let before = peer.used.get(&organisation).copied().unwrap_or(0.0);
+                    news.used.push((organisation, total - before));
+                }
+            }
+            None => news.joined = true,
+        }
+        let peer = Peer {
+            boot: gossip.boot,
+            sequence: gossip.sequence,
+            heard: now,
+            used: gossip.used.into_iter().collect(),
+            running: gossip.running,
+        };
+        self.peers.insert(entry, peer);
+        Some(news)
+    }
+
+    /// Forgets entries that were not heard for long.
+    pub fn expire(&mut self, now: Instant) {
+        let recent = |time: Instant| now.saturating_duration_since(time) < KNOWN;
+        self.peers.retain(|_, peer| recent(peer.heard));
+        self.listed.retain(|_, time| recent(*time));
+    }
+
+    /// Returns how many entries there are, with this one.
+    #[must_use]
+    pub fn standing(&self, now: Instant) -> Standing {
+        let heard = self.peers.values().filter(|peer| peer.is_heard(now));
+        Standing {
+            heard: heard.count() + 1,
+            known: self.peers.len() + self.listed.len() + 1,
+        }
+    }
+
+    /// Returns the requests of all other entries at each target.
+    #[must_use]
+    pub fn running(&self, now: Instant) -> HashMap<u64, u32> {
+        let mut sums = HashMap::new();
+        for peer in self.peers.values().filter(|peer| peer.is_heard(now)) {
+            for running in &peer.running {
+                *sums.entry(running.target).or_insert(0) += u32::from(running.requests);
+            }
+        }
+        sums
+    }
+}
+
+impl Peer {
+    fn is_heard(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) < HEARD
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-dispatch/src/hash.rs
@@ -0,0 +1,19 @@
+/// Hashes a name to 64 bits, equally in all processes and builds.
+///
+/// Entries name targets and organisations to each other by this hash, which is shorter.
+#[must_use]
+pub fn hash_of(text: &str) -> u64 {
+    let hash = blake3::hash(text.as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
+/// Mixes two hashes, for rendezvous hashing.
+pub(crate) fn mix(a: u64, b: u64) -> u64 {
+    // The finalizer of SplitMix64.
+    let mut x = a ^ b.rotate_left(32);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/crates/ebonylug-dispatch/src/health.rs
@@ -0,0 +1,84 @@
+use std::time::{Duration, Instant};
+
+/// What an attempt showed about its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole answer of the target.
+    Answered,
+    /// A whole answer that states a failure of the target.
+    Failed,
+    /// The target refused and did not run the request.
+    Refused,
+    /// No connection, a broken one, bytes that are no answer, or silence.
+    Broken,
+    /// Nothing is known: the caller left, or the entry gave up for reasons of its own.
+    Withdrawn,
+}
+
+/// Weight of a new outcome in the failure rate.
+const WEIGHT: f64 = 0.12;
+/// A target with a higher failure rate gets requests only as trials. Some services fail one request
+/// in seven in good health.
+const MAX_FAILURES: f64 = 0.4;
+/// Breaks in a row after which a target rests.
+const BREAKS: u32 = 2;
+/// The first rest, doubled with each further break.
+const REST: Duration = Duration::from_millis(250);
+/// The longest rest.
+const MAX_REST: Duration = Duration::from_secs(2);
+
+/// Whether a target works, by the outcomes of its requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Health {
+    rate: f64,
+    breaks: u32,
+    rest: Option<Instant>,
+}
+
+impl Health {
+    /// Notes an outcome. Returns whether the target came back after breaks.
+    pub(crate) fn note(&mut self, now: Instant, outcome: Outcome) -> bool {
+        match outcome {
+            Outcome::Withdrawn | Outcome::Refused => false,
+            Outcome::Answered => {
+                let back = self.breaks >= BREAKS;
+                self.rate -= self.rate * WEIGHT;
+                self.breaks = 0;
+                self.rest = None;
+                back
+            }
+            Outcome::Failed => {
+                self.rate += (1.0 - self.rate) * WEIGHT;
+                self.breaks = 0;
+                if self.rate > MAX_FAILURES {
+                    self.rest = Some(now + REST);
+                }
+                false
+            }
+            Outcome::Broken => {
+                self.rate += (1.0 - self.rate) * WEIGHT;
+                self.breaks += 1;
+                if self.breaks >= BREAKS || self.rate > MAX_FAILURES {
+                    let doubled = REST * (1 << (self.breaks.min(6) - 1));
+                    self.rest = Some(now + doubled.min(MAX_REST));
+                }
+                false
+            }
+        }
+    }
+
+    /// Reports whether the target rests.
+    pub(crate) fn rests(&self, now: Instant) -> bool {
+        self.rest.is_some_and(|rest| now < rest)
+    }
+
+    /// Reports whether the target gets one request at a time, as a trial.
+    pub(crate) fn on_trial(&self) -> bool {
+        self.breaks >= BREAKS || self.rate > MAX_FAILURES
+    }
+
+    /// Returns the share of recent outcomes that were failures, from 0 to 1.
+    pub(crate) fn failures(&self) -> f64 {
+        self.rate
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -0,0 +1,394 @@
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use ebonylug_core::Name;
+use slotmap::SlotMap;
+use smallvec::SmallVec;
+
+use crate::cold::ColdRate;
+use crate::hash::{hash_of, mix};
+use crate::health::{Health, Outcome};
+use crate::refusal::{Reason, Refusal};
+use crate::target::{Known, Target, TargetKey, TargetState};
+use crate::waiting::{WaitKey, Waiting};
+
+/// What the scheduler may use of a target.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// For each rank, requests at a target beyond its slots; negative numbers keep slots free for
+    /// more urgent ranks. The last one holds for all further ranks.
+    pub beyond: [i32; 3],
+    /// Requests that wait, over all services.
+    pub capacity: usize,
+    /// How much busier than the least busy target the target with a warm cache may be, in requests.
+    pub affinity: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            beyond: [1, 0, -1],
+            capacity: 400,
+            affinity: 2,
+        }
+    }
+}
+
+/// A request that needs a target.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The service that serves it.
+    pub service: Name,
+    /// The rank; 0 is the most urgent.
+    pub rank: u8,
+    /// The hash of the prompt's part that is most worth caching.
+    pub subject: Option<u64>,
+    /// Targets that it was sent to.
+    pub tried: SmallVec<[TargetKey; 2]>,
+    /// How long it may wait.
+    pub patience: Duration,
+    /// Whether the service is a model engine.
+    pub model: bool,
+}
+
+/// The immediate answer to an [`Ask`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// Send it to this target now.
+    Send(TargetKey),
+    /// It waits; [`Scheduler::poll`] decides.
+    Wait(WaitKey),
+    /// It is refused.
+    Refuse(Refusal),
+}
+
+/// A later decision about a request that waited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Send it to this target now.
+    Send(TargetKey),
+    /// It is refused.
+    Refuse(Refusal),
+}
+
+/// Binds requests to targets as late as possible.
+#[derive(Debug)]
+pub struct Scheduler {
+    settings: Settings,
+    targets: SlotMap<TargetKey, Known>,
+    names: HashMap<Name, TargetKey>,
+    services: HashMap<Name, Vec<TargetKey>>,
+    cold_rates: HashMap<Name, (f64, Duration)>,
+    evacuated: HashSet<Name>,
+    /// Versions that must get no requests, by service.
+    barred: HashMap<Name, Box<str>>,
+    waiting: Waiting,
+    entries: usize,
+    draws: u64,
+}
+
+impl Scheduler {
+    /// Creates a scheduler without targets; `seed` differs between entries.
+    #[must_use]
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Scheduler {
+            settings,
+            targets: SlotMap::with_key(),
+            names: HashMap::new(),
+            services: HashMap::new(),
+            cold_rates: HashMap::new(),
+            evacuated: HashSet::new(),
+            barred: HashMap::new(),
+            waiting: Waiting::default(),
+            entries: 1,
+            draws: seed,
+        }
+    }
+
+    /// Sets how many entries share the targets.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.entries = entries.max(1);
+    }
+
+    /// Sets the rate and time of cold targets of a service.
+    pub fn set_cold(&mut self, service: Name, rate: f64, time: Duration) {
+        self.cold_rates.insert(service, (rate, time));
+    }
+
+    /// Sets the availability zones that get nothing.
+    pub fn set_evacuated(&mut self, now: Instant, zones: HashSet<Name>) {
+        let back: SmallVec<[TargetKey; 8]> = self
+            .targets
+            .iter()
+            .filter(|(_, known)| {
+                let zone = &known.info.zone;
+                self.evacuated.contains(zone) && !zones.contains(zone)
+            })
+            .map(|(key, _)| key)
+            .collect();
+        self.evacuated = zones;
+        for key in back {
+            self.chill(now, key, None);
+        }
+    }
+
+    /// Sets the versions that get nothing, by service.
+    pub fn set_barred(&mut self, barred: HashMap<Name, Box<str>>) {
+        self.barred = barred;
+    }
+
+    /// Adds a target, or takes over what has changed about it.
+    pub fn put_target(&mut self, now: Instant, info: Target) -> TargetKey {
+        let cold = info.cold;
+        let key = match self.names.get(&info.name) {
+            Some(&key) if self.targets[key].info.service == info.service => {
+                let known = &mut self.targets[key];
+                if known.info.born != info.born || known.info.address != info.address {
+                    known.health = Health::default();
+                    known.pace = None;
+                }
+                known.info = info;
+                key
+            }
+            _ => {
+                let name = info.name.clone();
+                self.remove_target(&name);
+                let service = info.service.clone();
+                let hash = hash_of(info.name.as_str());
+                let key = self.targets.insert(Known {
+                    info,
+                    hash,
+                    own: 0,
+                    others: 0,
+                    health: Health::default(),
+                    cold: None,
+                    pace: None,
+                });
+                self.services.entry(service).or_default().push(key);
+                self.names.insert(name, key);
+                key
+            }
+        };
+        if !cold.is_zero() {
+            self.chill(now, key, Some(cold));
+        }
+        key
+    }
+
+    /// Removes a target. Requests that run there are not touched.
+    pub fn remove_target(&mut self, name: &Name) {
+        let Some(key) = self.names.remove(name) else {
+            return;
+        };
+        if let Some(known) = self.targets.remove(key)
+            && let Some(keys) = self.services.get_mut(&known.info.service)
+        {
+            keys.retain(|&other| other != key);
+        }
+    }
+
+    /// Returns the names of all targets.
+    pub fn names(&self) -> impl Iterator<Item = &Name> {
+        self.names.keys()
+    }
+
+    /// Returns what is listed about a target.
+    #[must_use]
+    pub fn target(&self, key: TargetKey) -> Option<&Target> {
+        self.targets.get(key).map(|known| &known.info)
+    }
+
+    /// Limits the rate of sends to a target that is cold, or may be.
+    fn chill(&mut self, now: Instant, key: TargetKey, time: Option<Duration>) {
+        let known = &mut self.targets[key];
+        let Some(&(rate, usual)) = self.cold_rates.get(&known.info.service) else {
+            return;
+        };
+        let until = now + time.unwrap_or(usual);
+        match &mut known.cold {
+            Some(cold) if cold.until() > now => cold.extend(until),
+            cold => {
+                let phase = (mix(known.hash, self.draws) >> 11) as f64 / (1_u64 << 53) as f64;
+                *cold = ColdRate::new(now, until, rate, self.entries, phase);
+            }
+        }
+    }
+
+    /// Notes that a target says that it is cold for `time`.
+    pub fn is_cold(&mut self, now: Instant, key: TargetKey, time: Duration) {
+        if self.targets.contains_key(key) && !time.is_zero() {
+            self.chill(now, key, Some(time));
+        }
+    }
+
+    /// Sets the requests of all other entries at each target, by hash of its name.
+    pub fn set_others(&mut self, running: &HashMap<u64, u32>) {
+        for known in self.targets.values_mut() {
+            known.others = running.get(&known.hash).copied().unwrap_or(0);
+        }
+    }
+
+    /// Returns the requests of this entry at each target that has any, by hash of its name.
+    pub fn own(&self) -> impl Iterator<Item = (u64, u32)> {
+        let busy = self.targets.values().filter(|known| known.own > 0);
+        busy.map(|known| (known.hash, known.own))
+    }
+
+    /// Asks for a target.
+    pub fn ask(&mut self, now: Instant, ask: Ask) -> Asked {
+        let usable = |key: &TargetKey| self.is_usable(&self.targets[*key], &ask);
+        let keys = self.services.get(&ask.service);
+        if !keys.is_some_and(|keys| keys.iter().any(usable)) {
+            return Asked::Refuse(self.refusal(Reason::NoTarget, Duration::from_millis(400)));
+        }
+        if self.waiting.ahead(ask.service.as_str(), ask.rank) == 0
+            && let Some(key) = self.choose(now, &ask)
+        {
+            self.sent(now, key);
+            return Asked::Send(key);
+        }
+        if ask.patience.is_zero() || self.waiting.len() >= self.settings.capacity {
+            return Asked::Refuse(self.refusal(Reason::Full, Duration::from_millis(500)));
+        }
+        let until = now + ask.patience;
+        Asked::Wait(self.waiting.insert(ask, until))
+    }
+
+    /// Withdraws a request that waits.
+    pub fn withdraw(&mut self, key: WaitKey) {
+        self.waiting.remove(key);
+    }
+
+    /// Decides about requests that wait.
+    pub fn poll(&mut self, now: Instant) -> SmallVec<[(WaitKey, Decision); 4]> {
+        let mut decisions = SmallVec::new();
+        if self.waiting.len() == 0 {
+            return decisions;
+        }
+        // A target that has no place for one request of a rank has none for the others.
+        let mut full: SmallVec<[(Name, u8); 4]> = SmallVec::new();
+        let keys: SmallVec<[WaitKey; 32]> = self.waiting.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            let Some(waiter) = self.waiting.remove(key) else {
+                continue;
+            };
+            let service = &waiter.ask.service;
+            let blocked = full
+                .iter()
+                .any(|(name, rank)| name == service && *rank <= key.rank);
+            let chosen = if blocked {
+                None
+            } else {
+                self.choose(now, &waiter.ask)
+            };
+            if let Some(target) = chosen {
+                self.sent(now, target);
+                decisions.push((key, Decision::Send(target)));
+            } else if waiter.until <= now {
+                let refusal = self.refusal(Reason::Full, Duration::from_millis(500));
+                decisions.push((key, Decision::Refuse(refusal)));
+            } else {
+                if !blocked && waiter.ask.tried.is_empty() {
+                    full.push((service.clone(), key.rank));
+                }
+                self.waiting.put_back(key, waiter);
+            }
+        }
+        decisions
+    }
+
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Notes the end of a request at a target. `pace` is its time for each unit of work, in seconds.
+    pub fn ended(&mut self, now: Instant, key: TargetKey, outcome: Outcome, pace: Option<f64>) {
+        let Some(known) = self.targets.get_mut(key) else {
+            return;
+        };
+        known.own = known.own.saturating_sub(1);
+        if let Some(pace) = pace {
+            known.learn(pace);
+        }
+        // A target that comes back after an outage may have started anew, and then it is cold.
+        if known.health.note(now, outcome) {
+            self.chill(now, key, None);
+        }
+    }
+
+    fn sent(&mut self, now: Instant, key: TargetKey) {
+        let known = &mut self.targets[key];
+        known.own += 1;
+        if let Some(cold) = &mut known.cold {
+            cold.sent(now);
+        }
+        self.draws = mix(self.draws, known.hash).wrapping_add(1);
+    }
+
+    fn is_usable(&self, known: &Known, ask: &Ask) -> bool {
+        let barred = self.barred.get(&known.info.service);
+        known.info.state == TargetState::Serving
+            && !self.evacuated.contains(&known.info.zone)
+            && barred.is_none_or(|version| *version != known.info.version)
+            && known.info.service == ask.service
+    }
+
+    fn limit(&self, known: &Known, ask: &Ask) -> u32 {
+        if !ask.model {
+            return known.info.slots + 2;
+        }
+        let beyond = self.settings.beyond[usize::from(ask.rank).min(2)];
+        known.info.slots.saturating_add_signed(beyond).max(1)
+    }
+
+    /// Chooses the target where the request probably runs soonest.
+    ///
+    /// The cache of a prompt's own part is at the target that rendezvous hashing gives, which all
+    /// entries compute alike; it is taken unless it is much busier than the least busy one.
+    fn choose(&self, now: Instant, ask: &Ask) -> Option<TargetKey> {
+        let keys = self.services.get(&ask.service)?;
+        let mut least: Option<(f64, u64, TargetKey)> = None;
+        let mut home: Option<(u64, u32, TargetKey)> = None;
+        let mut lowest = u32::MAX;
+        for &key in keys {
+            let known = &self.targets[key];
+            let free = known.load() < self.limit(known, ask);
+            if !free
+                || !known.is_open(now)
+                || ask.tried.contains(&key)
+                || !self.is_usable(known, ask)
+            {
+                continue;
+            }
+            lowest = lowest.min(known.load());
+            let pace = known.pace.map_or(1.0, |pace| pace.max(1e-6));
+            let score = f64::from(known.load() + 1) * pace * (1.0 + 4.0 * known.health.failures());
+            let draw = mix(known.hash, self.draws);
+            if least.is_none_or(|(best, tie, _)| score < best || (score == best && draw < tie)) {
+                least = Some((score, draw, key));
+            }
+            if let Some(subject) = ask.subject {
+                let weight = mix(known.hash, subject);
+                if home.is_none_or(|(best, ..)| weight > best) {
+                    home = Some((weight, known.load(), key));
+                }
+            }
+        }
+        match home {
+            Some((_, load, key)) if load <= lowest + self.settings.affinity => Some(key),
+            _ => least.map(|(.., key)| key),
+        }
+    }
+
+    fn refusal(&mut self, reason: Reason, after: Duration) -> Refusal {
+        // Spreads returns over one and a half times the time.
+        self.draws = mix(self.draws, 1).wrapping_add(1);
+        let part = (self.draws >> 11) as f64 / (1_u64 << 53) as f64;
+        Refusal {
+            reason,
+            after: after.mul_f64(0.5 + 1.5 * part),
+        }
+    }
+}
--- a/crates/ebonylug-platform/src/error.rs
+++ b/crates/ebonylug-platform/src/error.rs
@@ -20,6 +20,9 @@
     /// The object or row does not exist.
     #[error("not found")]
     NotFound,
+    /// The history that was asked for is not kept any more.
+    #[error("the history is not kept any more")]
+    Compacted,
     /// The answer could not be read.
     #[error("the answer of the platform's service is not valid: {0}")]
     Invalid(Box<str>),
--- a/crates/ebonylug-platform/src/http.rs
+++ b/crates/ebonylug-platform/src/http.rs
@@ -20,6 +20,12 @@
 /// closing ends as unknown.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Idle time after which a connection is probed, and time between probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Probes without answer after which a connection is dead.
+const PROBES: u32 = 2;
+
 /// A larger answer is not read, so that a faulty service cannot exhaust the process's memory.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
@@ -74,6 +80,24 @@
         self
     }
 
+    /// Reads from a path of a service that has another interface than the traits of this crate.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer or refuses.
+    pub async fn read(&self, path: &str) -> Result<Bytes> {
+        self.call(Effect::Read, Method::GET, path, Bytes::new()).await
+    }
+
+    /// Writes to a path of a service that has another interface than the traits of this crate.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Table::transact`].
+    pub async fn write(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes> {
+        self.call(Effect::Write, method, path, body).await
+    }
+
     async fn call(&self, effect: Effect, method: Method, path: &str, body: Bytes) -> Result<Bytes> {
         let request = self.request(method, path, body)?;
         match tokio::time::timeout(self.timeout, self.exchange(effect, request)).await {
@@ -215,6 +239,10 @@
     // A connection that is not established in time proves that nothing was sent.
     connector.set_connect_timeout(Some(timeout / 2));
     connector.set_nodelay(true);
+    // A connection may go silent for good while new ones work.
+    connector.set_keepalive(Some(PROBE_INTERVAL));
+    connector.set_keepalive_interval(Some(PROBE_INTERVAL));
+    connector.set_keepalive_retries(Some(PROBES));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
@@ -227,7 +255,8 @@
         StatusCode::SERVICE_UNAVAILABLE => Some(Error::Unavailable),
         StatusCode::TOO_MANY_REQUESTS => Some(Error::Throttled),
         StatusCode::NOT_FOUND => Some(Error::NotFound),
-        StatusCode::CONFLICT => {
+        StatusCode::GONE => Some(Error::Compacted),
+        StatusCode::CONFLICT | StatusCode::PRECONDITION_FAILED => {
             let key = serde_json::from_slice::<ConflictBody>(body).map(|body| body.key);
             Some(Error::Conflict {
                 key: key.unwrap_or_default(),
