Keep slots free over a whole service, tell peers more often, return callers later

Cause: one slot kept free in each engine costs a sixth of the engines; loads were 100 ms old. Change: a share of all slots of a service stays free for more urgent ranks; entries tell each other every 20 ms (88 ms at 22); refused callers come back after a quarter of their time, 0.3 to 3 s.

--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -24,6 +24,10 @@
 /// Time that must be left for a send to make sense.
 const MIN_LEFT: Duration = Duration::from_millis(30);
 
+/// Shortest and longest mean time until a refused caller comes back. Bursts last some seconds.
+const MIN_RETURN: Duration = Duration::from_millis(300);
+const MAX_RETURN: Duration = Duration::from_secs(3);
+
 /// Counts a request as active until it is dropped.
 struct Active(Rc<Entry>);
 
@@ -171,14 +175,18 @@
     fn ask(&self) -> Ask {
         let left = self.call.limit.saturating_duration_since(Instant::now());
         let waited = self.call.arrived.elapsed();
-        // Half of the aim is left for the target itself.
-        let patience = (self.call.route.aim / 2).saturating_sub(waited);
+        let rank = self.call.rank();
+        // What is left of the aim is for the target itself. The most urgent requests are worth
+        // serving late.
+        let part = if rank == 0 { 1.5 } else { 0.7 };
+        let patience = self.call.route.aim.mul_f64(part).saturating_sub(waited);
         Ask {
             service: self.service.clone(),
-            rank: self.call.rank(),
+            rank,
             subject: self.call.subject(&self.entry.dialect),
             tried: self.tried.clone(),
             patience: patience.min(left),
+            after: (left / 4).clamp(MIN_RETURN, MAX_RETURN),
             model: self.model,
         }
     }
--- a/crates/ebonylug-direct/src/peers.rs
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -13,9 +13,13 @@
 
 use crate::entry::Entry;
 
-/// Time between two messages to each other entry. What an entry knows of the load at a target is as
-/// old as this.
-const INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two messages for each entry that gets them, so that the cost of messages does not
+/// grow with the square of the entries. What an entry knows of loads is as old as this.
+const INTERVAL_EACH: Duration = Duration::from_millis(4);
+/// The shortest time between two messages.
+const MIN_INTERVAL: Duration = Duration::from_millis(20);
+/// The longest time between two messages.
+const MAX_INTERVAL: Duration = Duration::from_millis(150);
 /// Bytes of a datagram.
 const MAX_BYTES: usize = 60_000;
 
@@ -52,10 +56,10 @@
 
     /// Sends messages for ever.
     pub async fn send(self: Rc<Self>) {
-        let mut interval = tokio::time::interval(INTERVAL);
-        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            interval.tick().await;
+            let entries = u32::try_from(self.addresses.borrow().len()).unwrap_or(u32::MAX);
+            let pause = INTERVAL_EACH.saturating_mul(entries);
+            tokio::time::sleep(pause.clamp(MIN_INTERVAL, MAX_INTERVAL)).await;
             self.entry.expire_peers();
             self.entry.pool.expire();
             self.tell().await;
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -15,9 +15,13 @@
 /// What the scheduler may use of a target.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// For each rank, requests at a target beyond its slots; negative numbers keep slots free for
-    /// more urgent ranks. The last one holds for all further ranks.
-    pub beyond: [i32; 3],
+    /// For each rank, the part of all slots of a model service that must be free, so that more
+    /// urgent requests find a free one. The last one holds for all further ranks.
+    pub reserve: [f64; 3],
+    /// Requests of the most urgent rank that may wait in a model engine.
+    pub beyond: u32,
+    /// Requests that may wait in a target of another kind.
+    pub queued: u32,
     /// Requests that wait, over all services.
     pub capacity: usize,
     /// How much busier than the least busy target the target with a warm cache may be, in requests.
@@ -27,7 +31,9 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            beyond: [1, 0, -1],
+            reserve: [0.0, 0.03, 0.10],
+            beyond: 1,
+            queued: 2,
             capacity: 400,
             affinity: 2,
         }
@@ -47,6 +53,8 @@
     pub tried: SmallVec<[TargetKey; 2]>,
     /// How long it may wait.
     pub patience: Duration,
+    /// When the caller should come back, on average, if the request is refused.
+    pub after: Duration,
     /// Whether the service is a model engine.
     pub model: bool,
 }
@@ -248,7 +256,7 @@
             return Asked::Send(key);
         }
         if ask.patience.is_zero() || self.waiting.len() >= self.settings.capacity {
-            return Asked::Refuse(self.refusal(Reason::Full, Duration::from_millis(500)));
+            return Asked::Refuse(self.refusal(Reason::Full, ask.after));
         }
         let until = now + ask.patience;
         Asked::Wait(self.waiting.insert(ask, until))
@@ -285,7 +293,7 @@
                 self.sent(now, target);
                 decisions.push((key, Decision::Send(target)));
             } else if waiter.until <= now {
-                let refusal = self.refusal(Reason::Full, Duration::from_millis(500));
+                let refusal = self.refusal(Reason::Full, waiter.ask.after);
                 decisions.push((key, Decision::Refuse(refusal)));
             } else {
                 if !blocked && waiter.ask.tried.is_empty() {
@@ -336,11 +344,29 @@
     }
 
     fn limit(&self, known: &Known, ask: &Ask) -> u32 {
-        if !ask.model {
-            return known.info.slots + 2;
+        let slots = known.info.slots;
+        match (ask.model, ask.rank) {
+            (false, _) => slots + self.settings.queued,
+            (true, 0) => slots + self.settings.beyond,
+            (true, _) => slots,
         }
-        let beyond = self.settings.beyond[usize::from(ask.rank).min(2)];
-        known.info.slots.saturating_add_signed(beyond).max(1)
+    }
+
+    /// Reports whether enough slots are free for a request of this rank.
+    fn has_room(&self, now: Instant, ask: &Ask) -> bool {
+        let reserve = self.settings.reserve[usize::from(ask.rank).min(2)];
+        if !ask.model || reserve <= 0.0 {
+            return true;
+        }
+        let (mut free, mut slots) = (0, 0);
+        for &key in self.services.get(&ask.service).into_iter().flatten() {
+            let known = &self.targets[key];
+            if self.is_usable(known, ask) && known.is_open(now) {
+                slots += known.info.slots;
+                free += known.info.slots.saturating_sub(known.load());
+            }
+        }
+        f64::from(free) > reserve * f64::from(slots)
     }
 
     /// Chooses the target where the request probably runs soonest.
@@ -348,6 +374,9 @@
     /// The cache of a prompt's own part is at the target that rendezvous hashing gives, which all
     /// entries compute alike; it is taken unless it is much busier than the least busy one.
     fn choose(&self, now: Instant, ask: &Ask) -> Option<TargetKey> {
+        if !self.has_room(now, ask) {
+            return None;
+        }
         let keys = self.services.get(&ask.service)?;
         let mut least: Option<(f64, u64, TargetKey)> = None;
         let mut home: Option<(u64, u32, TargetKey)> = None;
