--- a/crates/ebonylug-direct/src/attempt.rs
+++ b/crates/ebonylug-direct/src/attempt.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use ebonylug_dispatch::{Outcome, TargetKey};
+use ebonylug_dispatch::Outcome;
 use http::response::Parts;
 use http::{HeaderValue, StatusCode, header};
 use http_body_util::BodyExt;
@@ -158,10 +158,6 @@
             }
         }
     }
-
-    pub(crate) fn target(&self) -> TargetKey {
-        self.grant.target()
-    }
 }
 
 async fn collect(mut body: Incoming) -> std::result::Result<Bytes, Box<str>> {
--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -135,6 +135,13 @@
         self.state.borrow_mut().freshness.confirm(time);
     }
 
+    /// Returns how long ago the configuration was last known to be current.
+    #[must_use]
+    pub fn config_age(&self) -> Option<Duration> {
+        let now = self.uptime.uptime();
+        self.state.borrow().freshness.age(now)
+    }
+
     /// Reports whether keys may be accepted.
     pub(crate) fn is_fresh(&self) -> bool {
         let now = self.uptime.uptime();
@@ -317,6 +324,8 @@
             boot: self.boot,
             sequence: state.sequence,
             config: state.config.as_ref().map_or(0, |config| config.version),
+            sent: millis(self.uptime.uptime()),
+            confirmed: state.freshness.confirmed().map(millis),
             leaving: self.stopping.get(),
             used: state.quotas.used().collect(),
             running: running.collect(),
@@ -327,9 +336,15 @@
     pub(crate) fn hear(self: &Rc<Self>, gossip: Gossip) -> bool {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let Some(news) = state.peers.hear(now, gossip) else {
+        let Some(news) = state.peers.hear(now, self.uptime.uptime(), gossip) else {
             return false;
         };
+        let version = state.config.as_ref().map_or(0, |config| config.version);
+        if let Some((confirmed, time)) = news.confirmed
+            && confirmed <= version
+        {
+            state.freshness.confirm(time);
+        }
         for (organisation, tokens) in news.used {
             state.quotas.used_elsewhere(organisation, tokens);
         }
@@ -364,6 +379,10 @@
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Withdraws a request that waits when its future is dropped.
 struct Ticket {
     entry: Rc<Entry>,
--- a/crates/ebonylug-direct/src/follow.rs
+++ b/crates/ebonylug-direct/src/follow.rs
@@ -1,7 +1,7 @@
 //! Follows a table of the platform: reads it whole, then waits for changes.
 
 use std::future::Future;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ebonylug_core::Clock;
@@ -26,6 +26,8 @@
     pub rows: Vec<Row>,
     /// The version that they are as of.
     pub version: u64,
+    /// The store's own clock at the answer.
+    pub clock: Duration,
 }
 
 /// Why a read failed.
@@ -47,10 +49,25 @@
     /// Reads all rows.
     fn list(&self) -> impl Future<Output = Result<Rows>>;
 
-    /// Waits for changes after a version, and returns none if there are none for some time.
-    fn changes(&self, after: u64) -> impl Future<Output = Result<Rows>>;
+    /// Waits for changes after a version, and returns none if there are none for `wait`.
+    fn changes(&self, after: u64, wait: Duration) -> impl Future<Output = Result<Rows>>;
 }
 
+/// How long reads of changes wait.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// The longest time that a read waits for changes. Each read draws its time from the upper half.
+    pub wait: Duration,
+    /// The age of what is known after which a read that waits is given up and made anew without
+    /// waiting.
+    pub max_age: Option<Duration>,
+}
+
+/// How long a read waits while what is known is too old in spite of reads.
+const OLD_WAIT: Duration = Duration::from_secs(1);
+/// How often the age of what is known is looked at.
+const AGE_CHECK: Duration = Duration::from_millis(250);
+
 /// What a follower is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Told {
@@ -65,52 +82,117 @@
 /// The longest pause after failed reads. The loss of the store must not outlast it by much.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
-/// Follows a table for ever. `tell` gets rows, with the uptime before the call that read them: the
-/// rows are at least as recent.
-pub async fn follow<F: Feed>(
-    name: &'static str,
-    feed: F,
-    clock: Rc<dyn Clock>,
-    uptime: Rc<dyn Uptime>,
-    seed: u64,
-    mut tell: impl FnMut(Told, Duration),
-) {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut version = None;
-    let mut failures = 0_u32;
-    let mut lost = None;
-    loop {
-        let asked = uptime.uptime();
-        let read = match version {
-            None => feed.list().await.map(|rows| (rows.version, Told::All(rows.rows))),
-            Some(after) => {
-                let changes = feed.changes(after).await;
-                changes.map(|rows| (rows.version.max(after), Told::Changed(rows.rows)))
-            }
-        };
-        match read {
-            Ok((at, told)) => {
-                if let Some(since) = lost.take() {
-                    let outage = clock.now().saturating_duration_since(since).as_millis();
-                    tracing::info!(part = "store", table = name, outage, "store answers again");
+/// Converts the store's times to uptimes of this machine.
+///
+/// An answer arrives after it was made, so the least difference between both clocks is the best
+/// estimate, and errs by the shortest time that an answer took.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreClock {
+    offset: Option<i128>,
+}
+
+impl StoreClock {
+    /// Notes an answer of the store's time `made` that arrived at `arrived`. Returns the uptime at
+    /// which it was made.
+    pub fn note(&mut self, made: Duration, arrived: Duration) -> Duration {
+        let nanos = |time: Duration| time.as_nanos() as i128;
+        let difference = nanos(arrived) - nanos(made);
+        let offset = self.offset.map_or(difference, |least| least.min(difference));
+        self.offset = Some(offset);
+        let local = u64::try_from((nanos(made) + offset).max(0)).unwrap_or(u64::MAX);
+        Duration::from_nanos(local)
+    }
+}
+
+/// Follows a table.
+pub struct Follower<F> {
+    /// The name of the table, for logs.
+    pub name: &'static str,
+    /// Where rows come from.
+    pub feed: F,
+    /// How long reads wait.
+    pub pace: Pace,
+    /// Measures outages.
+    pub clock: Arc<dyn Clock>,
+    /// Tells when rows were current.
+    pub uptime: Box<dyn Uptime>,
+}
+
+impl<F: Feed> Follower<F> {
+    /// Follows the table for ever. `tell` gets rows, with the uptime for which they are current;
+    /// `age` returns the age of what is known from here or elsewhere.
+    pub async fn run(
+        self,
+        seed: u64,
+        age: impl Fn() -> Option<Duration>,
+        mut tell: impl FnMut(Told, Duration),
+    ) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut store = StoreClock::default();
+        let mut version = None;
+        let mut failures = 0_u32;
+        let mut lost = None;
+        loop {
+            let wait = self.pace.wait.mul_f64(rng.random_range(0.5..1.0));
+            let read = match version {
+                None => self.feed.list().await.map(|rows| (Told::All as fn(_) -> _, rows)),
+                Some(after) => {
+                    let changes = self.changes(after, wait, &age).await;
+                    changes.map(|rows| (Told::Changed as fn(_) -> _, rows))
                 }
-                failures = 0;
-                version = Some(at);
-                tell(told, asked);
-            }
-            Err(Error::Compacted) => {
-                tracing::info!(part = "store", table = name, "history is gone; reading all");
-                version = None;
-            }
-            Err(Error::Failed(error)) => {
-                if lost.is_none() {
-                    lost = Some(clock.now());
-                    tracing::warn!(part = "store", table = name, %error, "store does not answer");
+            };
+            match read {
+                Ok((told, rows)) => {
+                    if let Some(since) = lost.take() {
+                        let outage = self.clock.now().saturating_duration_since(since);
+                        let outage_ms = outage.as_millis() as u64;
+                        tracing::info!(part = "store", table = self.name, outage_ms, "store answers again");
+                    }
+                    failures = 0;
+                    version = Some(rows.version.max(version.unwrap_or(0)));
+                    let made = store.note(rows.clock, self.uptime.uptime());
+                    tell(told(rows.rows), made);
+                }
+                Err(Error::Compacted) => {
+                    tracing::info!(part = "store", table = self.name, "history is gone; reading all");
+                    version = None;
+                }
+                Err(Error::Failed(error)) => {
+                    if lost.is_none() {
+                        lost = Some(self.clock.now());
+                        tracing::warn!(part = "store", table = self.name, %error, "store does not answer");
+                    }
+                    let pause = (PAUSE * (1 << failures.min(4))).min(MAX_PAUSE);
+                    failures += 1;
+                    tokio::time::sleep(pause.mul_f64(rng.random_range(0.5..1.0))).await;
                 }
-                let pause = (PAUSE * (1 << failures.min(4))).min(MAX_PAUSE);
-                failures += 1;
-                tokio::time::sleep(pause.mul_f64(rng.random_range(0.5..1.0))).await;
             }
         }
     }
+
+    /// Waits for changes, but not longer than what is known may age.
+    async fn changes(
+        &self,
+        after: u64,
+        wait: Duration,
+        age: impl Fn() -> Option<Duration>,
+    ) -> Result<Rows> {
+        let Some(max_age) = self.pace.max_age else {
+            return self.feed.changes(after, wait).await;
+        };
+        // Before anything is known, nothing can be too old.
+        let old = || age().is_some_and(|age| age >= max_age);
+        if old() {
+            return self.feed.changes(after, wait.min(OLD_WAIT)).await;
+        }
+        let aged = async {
+            while !old() {
+                tokio::time::sleep(AGE_CHECK).await;
+            }
+        };
+        tokio::select! {
+            changes = self.feed.changes(after, wait) => changes,
+            () = aged => self.feed.changes(after, Duration::ZERO).await,
+        }
+    }
 }
--- a/crates/ebonylug-dispatch/src/freshness.rs
+++ b/crates/ebonylug-dispatch/src/freshness.rs
@@ -20,16 +20,17 @@
         }
     }
 
-    /// Changes the bound.
-    pub fn set_bound(&mut self, bound: Duration) {
-        self.bound = bound;
-    }
-
     /// Notes that the configuration in force was current at `time`.
     pub fn confirm(&mut self, time: Duration) {
         self.confirmed = self.confirmed.max(Some(time));
     }
 
+    /// Returns the last time for which the configuration was known to be current.
+    #[must_use]
+    pub fn confirmed(&self) -> Option<Duration> {
+        self.confirmed
+    }
+
     /// Returns the time since the configuration was last known to be current.
     #[must_use]
     pub fn age(&self, now: Duration) -> Option<Duration> {
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -36,6 +36,11 @@
     pub sequence: u64,
     /// The version of its configuration.
     pub config: u64,
+    /// The sender's uptime when it sent the message, in milliseconds.
+    pub sent: u64,
+    /// The uptime of the sender for which its configuration was last known to be current, in
+    /// milliseconds.
+    pub confirmed: Option<u64>,
     /// Whether it is about to stop.
     pub leaving: bool,
     /// Tokens used by each organisation since the boot, by hash of its name.
@@ -51,6 +56,9 @@
     pub used: SmallVec<[(u64, f64); 8]>,
     /// Whether the entry was not known before.
     pub joined: bool,
+    /// The version of the sender's configuration, and this entry's uptime for which the sender knew
+    /// that it is current.
+    pub confirmed: Option<(u64, Duration)>,
 }
 
 #[derive(Debug)]
@@ -58,6 +66,8 @@
     boot: u64,
     sequence: u64,
     heard: Instant,
+    /// The least difference between the time of receipt and the time of sending, in milliseconds.
+    offset: i64,
     used: HashMap<u64, f64>,
     running: Vec<Running>,
 }
@@ -78,8 +88,11 @@
         }
     }
 
-    /// Takes in a message, unless it is older than one of the same boot.
-    pub fn hear(&mut self, now: Instant, gossip: Gossip) -> Option<News> {
+    /// Takes in a message that arrived at `uptime`, unless it is older than one of the same boot.
+    ///
+    /// A message may have waited in a socket while this machine was suspended. The sender's times
+    /// are therefore converted by the least difference between sending and receipt so far.
+    pub fn hear(&mut self, now: Instant, uptime: Duration, gossip: Gossip) -> Option<News> {
         let entry = Name::new(&gossip.entry);
         self.listed.remove(&entry);
         if gossip.leaving {
@@ -98,7 +111,15 @@
             }
             None => news.joined = true,
         }
+        let before = self.peers.get(&entry).filter(|peer| peer.boot == gossip.boot);
+        let difference = millis(uptime) - i64::try_from(gossip.sent).unwrap_or(0);
+        let offset = before.map_or(difference, |peer| peer.offset.min(difference));
+        news.confirmed = gossip.confirmed.map(|time| {
+            let local = i64::try_from(time).unwrap_or(0).saturating_add(offset).max(0);
+            (gossip.config, Duration::from_millis(local.unsigned_abs()))
+        });
         let peer = Peer {
+            offset,
             boot: gossip.boot,
             sequence: gossip.sequence,
             heard: now,
@@ -139,6 +160,10 @@
     }
 }
 
+fn millis(time: Duration) -> i64 {
+    i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
+}
+
 impl Peer {
     fn is_heard(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.heard) < HEARD
--- a/crates/ebonylug-platform/src/http.rs
+++ b/crates/ebonylug-platform/src/http.rs
@@ -80,6 +80,13 @@
         self
     }
 
+    /// Limits the time of each call, and keeps the connections.
+    #[must_use]
+    pub fn patience(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
     /// Reads from a path of a service that has another interface than the traits of this crate.
     ///
     /// # Errors
