--- a/crates/ebonylug-direct/src/answer.rs
+++ b/crates/ebonylug-direct/src/answer.rs
@@ -2,7 +2,7 @@
 use std::pin::Pin;
 
 use bytes::Bytes;
-use ebonylug_dispatch::Refusal;
+use ebonylug_dispatch::{Reason, Refusal};
 use futures_util::Stream;
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::{Either, Full, StreamBody};
@@ -19,6 +19,47 @@
 
 pub(crate) type Result<T, E = std::io::Error> = std::result::Result<T, E>;
 
+/// Why a request gets no answer of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Rejection {
+    /// It has not run and will not run; the caller may come back.
+    Refused(Refusal),
+    /// It cannot be served as it is.
+    Invalid(StatusCode, &'static str),
+    /// It may have run.
+    Unknown(StatusCode, &'static str),
+}
+
+impl Rejection {
+    pub(crate) fn status(self) -> StatusCode {
+        match self {
+            Rejection::Refused(refusal) if refusal.reason == Reason::Quota => {
+                StatusCode::TOO_MANY_REQUESTS
+            }
+            Rejection::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Rejection::Invalid(status, _) | Rejection::Unknown(status, _) => status,
+        }
+    }
+
+    pub(crate) fn reason(self) -> &'static str {
+        match self {
+            Rejection::Refused(refusal) => refusal.reason.as_str(),
+            Rejection::Invalid(_, reason) | Rejection::Unknown(_, reason) => reason,
+        }
+    }
+
+    pub(crate) fn answer(self) -> Answer {
+        let mut answer = own(self.status(), self.reason());
+        if let Rejection::Refused(refusal) = self {
+            let after = format!("{:.2}", refusal.after.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&after) {
+                answer.headers_mut().insert(header::RETRY_AFTER, value);
+            }
+        }
+        answer
+    }
+}
+
 /// Makes an answer of the entry's own.
 pub(crate) fn own(status: StatusCode, text: &'static str) -> Answer {
     let mut answer = Response::new(Either::Left(Full::new(Bytes::from_static(text.as_bytes()))));
@@ -28,21 +69,6 @@
     answer
 }
 
-/// Makes the answer to a request that did not run.
-pub(crate) fn refused(refusal: Refusal) -> Answer {
-    use ebonylug_dispatch::Reason;
-    let status = match refusal.reason {
-        Reason::Quota => StatusCode::TOO_MANY_REQUESTS,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
-    };
-    let mut answer = own(status, refusal.reason.as_str());
-    let after = format!("{:.2}", refusal.after.as_secs_f64());
-    if let Ok(value) = HeaderValue::from_str(&after) {
-        answer.headers_mut().insert(header::RETRY_AFTER, value);
-    }
-    answer
-}
-
 /// Makes a streamed body.
 pub(crate) fn streamed<S>(parts: S) -> Body
 where
--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -279,6 +279,11 @@
         receiver.await.unwrap_or(Err(refused))
     }
 
+    /// Returns the number of requests that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.state.borrow().scheduler.waiting()
+    }
+
     /// Carries out decisions about requests that wait.
     pub fn pump(self: &Rc<Self>) {
         let now = self.clock.now();
--- a/crates/ebonylug-direct/src/follow.rs
+++ b/crates/ebonylug-direct/src/follow.rs
@@ -58,6 +58,8 @@
 pub struct Pace {
     /// The longest time that a read waits for changes. Each read draws its time from the upper half.
     pub wait: Duration,
+    /// Time from one answer to the next read, in which changes gather.
+    pub pause: Duration,
     /// The age of what is known after which a read that waits is given up and made anew without
     /// waiting.
     pub max_age: Option<Duration>,
@@ -152,6 +154,7 @@
                     version = Some(rows.version.max(version.unwrap_or(0)));
                     let made = store.note(rows.clock, self.uptime.uptime());
                     tell(told(rows.rows), made);
+                    tokio::time::sleep(self.pace.pause).await;
                 }
                 Err(Error::Compacted) => {
                     tracing::info!(part = "store", table = self.name, "history is gone; reading all");
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -1,5 +1,6 @@
 //! The life of one request: route, key, quota, targets, answer.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use crate::answer::{self, Answer, Served};
+use crate::answer::{self, Answer, Rejection, Served};
 use crate::attempt::{self, Failure, Opened};
 use crate::entry::Entry;
 use crate::request::{self, Call};
@@ -28,6 +29,16 @@
 const MIN_RETURN: Duration = Duration::from_millis(300);
 const MAX_RETURN: Duration = Duration::from_secs(3);
 
+/// When callers should come back if there is no configuration yet. An entry starts in about a second.
+const NO_CONFIG_RETURN: Duration = Duration::from_millis(500);
+/// The same if the configuration is too old. Entries that cannot reach the store are out of rotation
+/// after two seconds.
+const STALE_RETURN: Duration = Duration::from_secs(1);
+/// The same if the route leads to no service.
+const NO_TARGET_RETURN: Duration = Duration::from_secs(1);
+/// The same if a target did not run the request. Another one has room, mostly.
+const REJECTED_RETURN: Duration = Duration::from_millis(300);
+
 /// Counts a request as active until it is dropped.
 struct Active(Rc<Entry>);
 
@@ -44,12 +55,27 @@
     }
 }
 
+/// What is known of a request, for its line in the log.
+#[derive(Default)]
+struct Trace {
+    request: String,
+    route: Option<Name>,
+    organisation: Option<Name>,
+    config: u64,
+    attempts: usize,
+}
+
 /// Answers a request of a caller.
 pub(crate) async fn handle(entry: Rc<Entry>, request: Request<Incoming>) -> Served {
     let active = Active::new(&entry);
-    let mut answer = match serve(&entry, request, active).await {
+    let begun = Instant::now();
+    let mut trace = Trace::default();
+    let mut answer = match serve(&entry, request, active, &mut trace).await {
         Ok(answer) => answer,
-        Err(rejected) => *rejected,
+        Err(rejection) => {
+            tell(&entry, &trace, rejection, begun);
+            rejection.answer()
+        }
     };
     if entry.stopping.get() {
         let close = http::HeaderValue::from_static("close");
@@ -58,38 +84,64 @@
     Ok(answer)
 }
 
-fn refuse(reason: Reason, after: Duration) -> request::Rejected {
-    Box::new(answer::refused(Refusal { reason, after }))
+/// Logs why a request was not served.
+fn tell(entry: &Entry, trace: &Trace, rejection: Rejection, begun: Instant) {
+    let config_age = entry.config_age().unwrap_or(Duration::MAX);
+    tracing::info!(
+        part = "request",
+        request = trace.request,
+        route = trace.route.as_ref().map(Name::as_str),
+        organisation = trace.organisation.as_ref().map(Name::as_str),
+        status = rejection.status().as_u16(),
+        reason = rejection.reason(),
+        waited_ms = millis(begun.elapsed()),
+        attempts = trace.attempts,
+        config = trace.config,
+        config_age_ms = millis(config_age),
+        queue = entry.waiting(),
+        "not served"
+    );
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn refuse(reason: Reason, after: Duration) -> Rejection {
+    Rejection::Refused(Refusal { reason, after })
 }
 
 async fn serve(
     entry: &Rc<Entry>,
     request: Request<Incoming>,
     active: Active,
+    trace: &mut Trace,
 ) -> request::Result<Answer> {
+    let id = request.headers().get(&entry.dialect.request_id);
+    trace.request = id.and_then(|id| id.to_str().ok()).unwrap_or_default().into();
     let Some(config) = entry.config() else {
-        return Err(refuse(Reason::NoConfig, Duration::from_millis(500)));
+        return Err(refuse(Reason::NoConfig, NO_CONFIG_RETURN));
     };
+    trace.config = config.version;
     let (parts, body) = request.into_parts();
-    // What an old configuration does not know, a newer one may; so freshness is checked first.
+    // A newer configuration may know what an old one does not.
     let fresh = entry.is_fresh();
     let resolved = match request::resolve(&config, &parts) {
         Ok(resolved) => resolved,
-        Err(_) if !fresh => return Err(refuse(Reason::Stale, Duration::from_secs(1))),
-        Err(rejected) => return Err(rejected),
+        Err(_) if !fresh => return Err(refuse(Reason::Stale, STALE_RETURN)),
+        Err(rejection) => return Err(rejection),
     };
+    trace.route = Some(resolved.route.name.clone());
+    trace.organisation = resolved.organisation.as_ref().map(|o| o.name.clone());
     if resolved.organisation.is_some() && !fresh {
-        return Err(refuse(Reason::Stale, Duration::from_secs(1)));
+        return Err(refuse(Reason::Stale, STALE_RETURN));
     }
     let call = request::read(entry, &config, parts, body, resolved).await?;
-    let quota = take_quota(entry, &call)?;
-    let (service, model) = match call.route.service(entry.draw()) {
-        Some(name) => {
-            let model = config.service(name.as_str()).is_some_and(|s| s.slots > 0);
-            (name.clone(), model)
-        }
-        None => return Err(refuse(Reason::NoTarget, Duration::from_secs(1))),
+    let Some(service) = call.route.service(entry.draw()).cloned() else {
+        return Err(refuse(Reason::NoTarget, NO_TARGET_RETURN));
     };
+    let model = config.service(service.as_str()).is_some_and(|s| s.slots > 0);
+    let quota = take_quota(entry, &call)?;
     let mut job = Job {
         entry: Rc::clone(entry),
         call,
@@ -101,20 +153,16 @@
         quota,
         _active: active,
     };
-    match job.first().await {
-        Ok(Begun::Whole(head, body)) => {
+    let begun = job.first().await;
+    trace.attempts = job.tried.len();
+    match begun? {
+        Begun::Whole(head, body) => {
             let mut answer = Response::new(Either::Left(Full::new(body)));
             *answer.status_mut() = head.status;
             *answer.headers_mut() = request::returned(&head.headers);
             Ok(answer)
         }
-        Ok(Begun::Stream(opened, events)) => Ok(stream_answer(job, *opened, events)),
-        Err(rejected) => {
-            if job.ran == 0 {
-                job.give_back();
-            }
-            Err(rejected)
-        }
+        Begun::Stream(opened, events) => Ok(stream_answer(job, *opened, events)),
     }
 }
 
@@ -135,7 +183,7 @@
     answer
 }
 
-fn take_quota(entry: &Entry, call: &Call) -> request::Result<Option<(Name, f64)>> {
+fn take_quota(entry: &Rc<Entry>, call: &Call) -> request::Result<Option<Spent>> {
     let Some(organisation) = &call.organisation else {
         return Ok(None);
     };
@@ -144,9 +192,28 @@
         None => f64::from(organisation.plain_tokens),
     };
     let name = organisation.name.clone();
-    match entry.take_quota(&name, tokens) {
-        Ok(()) => Ok(Some((name, tokens))),
-        Err(refusal) => Err(Box::new(answer::refused(refusal))),
+    entry.take_quota(&name, tokens).map_err(Rejection::Refused)?;
+    Ok(Some(Spent {
+        entry: Rc::clone(entry),
+        organisation: name,
+        tokens,
+        kept: Cell::new(false),
+    }))
+}
+
+/// Tokens of an organisation's quota. They go back if the request was sent to no target.
+struct Spent {
+    entry: Rc<Entry>,
+    organisation: Name,
+    tokens: f64,
+    kept: Cell<bool>,
+}
+
+impl Drop for Spent {
+    fn drop(&mut self) {
+        if !self.kept.get() {
+            self.entry.give_back_quota(&self.organisation, self.tokens);
+        }
     }
 }
 
@@ -161,7 +228,7 @@
     ran: u32,
     /// Attempts that did not run.
     unrun: u32,
-    quota: Option<(Name, f64)>,
+    quota: Option<Spent>,
     _active: Active,
 }
 
@@ -191,22 +258,21 @@
         }
     }
 
-    fn give_back(&mut self) {
-        if let Some((name, tokens)) = self.quota.take() {
-            self.entry.give_back_quota(&name, tokens);
-        }
-    }
-
     /// Runs attempts until one gives an answer.
     async fn first(&mut self) -> request::Result<Begun> {
         self.entry.count_request(&self.service);
         loop {
             let grant = match self.entry.grant(self.ask()).await {
                 Ok(grant) => grant,
-                Err(refusal) if self.ran == 0 => return Err(Box::new(answer::refused(refusal))),
+                Err(refusal) if self.ran == 0 => return Err(Rejection::Refused(refusal)),
                 Err(_) => return Err(bad_gateway()),
             };
             let target = grant.target();
+            if let Some(quota) = &self.quota {
+                // A request that a target did not run counts all the same: the caller's next one
+                // is then a little later.
+                quota.kept.set(true);
+            }
             let attempt = attempt::open(&self.entry, &self.call, grant, None).await;
             let begun = match attempt {
                 Ok(opened) => self.begin(opened).await,
@@ -275,11 +341,10 @@
             return Ok(());
         }
         Err(match (self.ran, status) {
-            (0, _) => refuse(Reason::Rejected, Duration::from_millis(300)),
-            (_, StatusCode::GATEWAY_TIMEOUT) => Box::new(answer::own(
-                StatusCode::GATEWAY_TIMEOUT,
-                "no answer in time",
-            )),
+            (0, _) => refuse(Reason::Rejected, REJECTED_RETURN),
+            (_, StatusCode::GATEWAY_TIMEOUT) => {
+                Rejection::Unknown(StatusCode::GATEWAY_TIMEOUT, "no_answer_in_time")
+            }
             _ => bad_gateway(),
         })
     }
@@ -299,6 +364,11 @@
         Instant::now() + MIN_LEFT < self.call.limit
     }
 
+    /// Returns the number of targets that the request was sent to.
+    pub(crate) fn attempts(&self) -> usize {
+        self.tried.len()
+    }
+
     /// Opens the stream at another target, after the last event that was passed on.
     pub(crate) async fn resume(
         &mut self,
@@ -338,6 +408,6 @@
     }
 }
 
-fn bad_gateway() -> request::Rejected {
-    Box::new(answer::own(StatusCode::BAD_GATEWAY, "no answer of a target"))
+fn bad_gateway() -> Rejection {
+    Rejection::Unknown(StatusCode::BAD_GATEWAY, "no_whole_answer")
 }
--- a/crates/ebonylug-direct/src/request.rs
+++ b/crates/ebonylug-direct/src/request.rs
@@ -4,17 +4,21 @@
 
 use bytes::{Bytes, BytesMut};
 use ebonylug_core::Name;
-use ebonylug_dispatch::{Config, Organisation, Route};
+use ebonylug_dispatch::{Config, Organisation, Reason, Refusal, Route};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
 use tokio::time::Instant;
 
-use crate::answer::{self, Answer};
+use crate::answer::Rejection;
 use crate::dialect::{Dialect, is_hop_by_hop};
 use crate::entry::Entry;
 
+/// When a caller should come back whose body found no memory. Bodies are held for as long as requests
+/// wait and run, mostly under a second.
+const MEMORY_RETURN: Duration = Duration::from_millis(500);
+
 /// How long a caller waits if it does not say so.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
@@ -55,10 +59,7 @@
     }
 }
 
-/// Why a request is answered without a target.
-pub(crate) type Rejected = Box<Answer>;
-
-pub(crate) type Result<T, E = Rejected> = std::result::Result<T, E>;
+pub(crate) type Result<T, E = Rejection> = std::result::Result<T, E>;
 
 /// The route and the organisation of a request, from its head.
 pub(crate) struct Resolved {
@@ -66,8 +67,8 @@
     pub(crate) organisation: Option<Arc<Organisation>>,
 }
 
-fn reject(status: StatusCode, text: &'static str) -> Rejected {
-    Box::new(answer::own(status, text))
+fn reject(status: StatusCode, text: &'static str) -> Rejection {
+    Rejection::Invalid(status, text)
 }
 
 /// Finds the route and the organisation of a request.
@@ -166,11 +167,10 @@
         }
         let used = &entry.body_bytes;
         if used.get() + part.len() > entry.settings.body_memory {
-            let refusal = ebonylug_dispatch::Refusal {
-                reason: ebonylug_dispatch::Reason::Memory,
-                after: Duration::from_millis(500),
-            };
-            return Err(Box::new(answer::refused(refusal)));
+            return Err(Rejection::Refused(Refusal {
+                reason: Reason::Memory,
+                after: MEMORY_RETURN,
+            }));
         }
         used.set(used.get() + part.len());
         memory.bytes += part.len();
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -1,5 +1,7 @@
+use std::time::Duration;
+
 use bytes::Bytes;
-use ebonylug_dispatch::Outcome;
+use ebonylug_dispatch::{Kind, Outcome};
 use http::HeaderValue;
 use http_body_util::BodyExt;
 use tokio::time::Instant;
@@ -17,6 +19,9 @@
     last: Option<u64>,
     count: u32,
     begun: Instant,
+    /// When the last whole events came, and the longest time between two.
+    before: Instant,
+    pause: Duration,
 }
 
 /// What the next part of a body is.
@@ -36,10 +41,13 @@
             last: None,
             count: 0,
             begun: Instant::now(),
+            before: Instant::now(),
+            pause: Duration::ZERO,
         };
         match events.part(opened, limit).await {
             Part::Events(bytes) => {
                 events.begun = Instant::now();
+                events.before = events.begun;
                 events.ready = Some(bytes);
                 Ok(events)
             }
@@ -125,6 +133,10 @@
             let part = self.events.part(&mut opened, self.job.call.limit).await;
             let error = match part {
                 Part::Events(bytes) => {
+                    let now = Instant::now();
+                    let pause = now.duration_since(self.events.before);
+                    self.events.pause = self.events.pause.max(pause);
+                    self.events.before = now;
                     self.opened = Some(opened);
                     return Some(Ok(bytes));
                 }
@@ -161,7 +173,34 @@
         self.opened.is_some()
     }
 
+    /// Logs a stream that was late, with what it waited for.
+    fn tell(&self, opened: &Opened) {
+        let call = &self.job.call;
+        let gap = match call.route.kind {
+            Kind::Stream { gap, .. } => gap,
+            Kind::Safe | Kind::Once => return,
+        };
+        let first = self.events.begun.duration_since(call.arrived);
+        if first <= call.route.aim && self.events.pause <= gap {
+            return;
+        }
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        tracing::info!(
+            part = "stream",
+            request = call.id.to_str().unwrap_or_default(),
+            route = %call.route.name,
+            target = %self.job.entry.target(opened.grant.target()).map_or_else(String::new, |t| t.name.to_string()),
+            queue_ms = millis(opened.sent.duration_since(call.arrived)),
+            first_ms = millis(first),
+            pause_ms = millis(self.events.pause),
+            events = self.events.count,
+            attempts = self.job.attempts(),
+            "late stream"
+        );
+    }
+
     fn end(&mut self, opened: Opened) {
+        self.tell(&opened);
         opened.grant.note(Outcome::Answered);
         if self.events.count > 1 {
             let time = self.events.begun.elapsed().as_secs_f64();
