Draw targets by free places, send no request to wait in an engine, tell changes at once

Cause: entries with the same, late news sent to the same best engine, where urgent requests waited 650 to 1,000 ms behind others. Change: two targets drawn in proportion to free places; limit = slots for all ranks; gossip 20 ms after a change, 150 ms otherwise.

--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -279,6 +279,11 @@
         receiver.await.unwrap_or(Err(refused))
     }
 
+    /// Returns a number that changes with each request that is sent or ends.
+    pub(crate) fn load_changes(&self) -> u64 {
+        self.state.borrow().scheduler.changes()
+    }
+
     /// Returns the number of requests that wait.
     pub(crate) fn waiting(&self) -> usize {
         self.state.borrow().scheduler.waiting()
--- a/crates/ebonylug-direct/src/peers.rs
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -13,12 +13,11 @@
 
 use crate::entry::Entry;
 
-/// Time between two messages for each entry that gets them, so that the cost of messages does not
-/// grow with the square of the entries. What an entry knows of loads is as old as this.
-const INTERVAL_EACH: Duration = Duration::from_millis(4);
-/// The shortest time between two messages.
+/// Time between two messages while loads change. What an entry knows of the others is as old as
+/// this, and what all entries send to a target within this time is a guess.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
-/// The longest time between two messages.
+/// Time between two messages while nothing changes; entries that are silent for four of these count
+/// as unheard.
 const MAX_INTERVAL: Duration = Duration::from_millis(150);
 /// Bytes of a datagram.
 const MAX_BYTES: usize = 60_000;
@@ -56,10 +55,17 @@
 
     /// Sends messages for ever.
     pub async fn send(self: Rc<Self>) {
+        let mut told = 0;
+        let mut silent = Duration::ZERO;
         loop {
-            let entries = u32::try_from(self.addresses.borrow().len()).unwrap_or(u32::MAX);
-            let pause = INTERVAL_EACH.saturating_mul(entries);
-            tokio::time::sleep(pause.clamp(MIN_INTERVAL, MAX_INTERVAL)).await;
+            tokio::time::sleep(MIN_INTERVAL).await;
+            silent += MIN_INTERVAL;
+            let changes = self.entry.load_changes();
+            if changes == told && silent < MAX_INTERVAL {
+                continue;
+            }
+            told = changes;
+            silent = Duration::ZERO;
             self.entry.expire_peers();
             self.entry.pool.expire();
             self.tell().await;
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -32,7 +32,7 @@
     fn default() -> Self {
         Settings {
             reserve: [0.0, 0.03, 0.10],
-            beyond: 1,
+            beyond: 0,
             queued: 2,
             capacity: 400,
             affinity: 2,
@@ -93,6 +93,7 @@
     waiting: Waiting,
     entries: usize,
     draws: u64,
+    changes: u64,
 }
 
 impl Scheduler {
@@ -110,6 +111,7 @@
             waiting: Waiting::default(),
             entries: 1,
             draws: seed,
+            changes: 0,
         }
     }
 
@@ -305,6 +307,12 @@
         decisions
     }
 
+    /// Returns a number that changes with each request that is sent or ends.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns the number of requests that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -317,6 +325,7 @@
             return;
         };
         known.own = known.own.saturating_sub(1);
+        self.changes += 1;
         if let Some(pace) = pace {
             known.learn(pace);
         }
@@ -329,6 +338,7 @@
     fn sent(&mut self, now: Instant, key: TargetKey) {
         let known = &mut self.targets[key];
         known.own += 1;
+        self.changes += 1;
         if let Some(cold) = &mut known.cold {
             cold.sent(now);
         }
@@ -369,7 +379,11 @@
         f64::from(free) > reserve * f64::from(slots)
     }
 
-    /// Chooses the target where the request probably runs soonest.
+    /// Chooses a target with a free place.
+    ///
+    /// Entries see each other's requests a little late. If all of them took the best target, they
+    /// would fill it several times over. So two targets are drawn, each in proportion to its free
+    /// places, and the better one is taken.
     ///
     /// The cache of a prompt's own part is at the target that rendezvous hashing gives, which all
     /// entries compute alike; it is taken unless it is much busier than the least busy one.
@@ -378,37 +392,38 @@
             return None;
         }
         let keys = self.services.get(&ask.service)?;
-        let mut least: Option<(f64, u64, TargetKey)> = None;
-        let mut home: Option<(u64, u32, TargetKey)> = None;
-        let mut lowest = u32::MAX;
+        let mut candidates: SmallVec<[Candidate; 48]> = SmallVec::new();
         for &key in keys {
             let known = &self.targets[key];
-            let free = known.load() < self.limit(known, ask);
-            if !free
-                || !known.is_open(now)
-                || ask.tried.contains(&key)
-                || !self.is_usable(known, ask)
-            {
-                continue;
-            }
-            lowest = lowest.min(known.load());
-            let pace = known.pace.map_or(1.0, |pace| pace.max(1e-6));
-            let score = f64::from(known.load() + 1) * pace * (1.0 + 4.0 * known.health.failures());
-            let draw = mix(known.hash, self.draws);
-            if least.is_none_or(|(best, tie, _)| score < best || (score == best && draw < tie)) {
-                least = Some((score, draw, key));
-            }
-            if let Some(subject) = ask.subject {
-                let weight = mix(known.hash, subject);
-                if home.is_none_or(|(best, ..)| weight > best) {
-                    home = Some((weight, known.load(), key));
-                }
+            let free = self.limit(known, ask).saturating_sub(known.load());
+            let tried = ask.tried.contains(&key);
+            if free > 0 && !tried && known.is_open(now) && self.is_usable(known, ask) {
+                let pace = known.pace.map_or(1.0, |pace| pace.max(1e-6));
+                let failures = 1.0 + 4.0 * known.health.failures();
+                candidates.push(Candidate {
+                    key,
+                    hash: known.hash,
+                    load: known.load(),
+                    free,
+                    score: f64::from(known.load() + 1) * pace * failures,
+                });
             }
         }
-        match home {
-            Some((_, load, key)) if load <= lowest + self.settings.affinity => Some(key),
-            _ => least.map(|(.., key)| key),
+        if let Some(key) = self.home(ask, &candidates) {
+            return Some(key);
         }
+        let first = draw(&candidates, mix(self.draws, 1))?;
+        let second = draw(&candidates, mix(self.draws, 2))?;
+        let better = if second.score < first.score { second } else { first };
+        Some(better.key)
+    }
+
+    /// Returns the target that has the cache of the prompt's own part, if it is not too busy.
+    fn home(&self, ask: &Ask, candidates: &[Candidate]) -> Option<TargetKey> {
+        let subject = ask.subject?;
+        let lowest = candidates.iter().map(|c| c.load).min()?;
+        let home = candidates.iter().max_by_key(|c| mix(c.hash, subject))?;
+        (home.load <= lowest + self.settings.affinity).then_some(home.key)
     }
 
     fn refusal(&mut self, reason: Reason, after: Duration) -> Refusal {
@@ -421,3 +436,26 @@
         }
     }
 }
+
+/// A target that may be chosen.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    key: TargetKey,
+    hash: u64,
+    load: u32,
+    free: u32,
+    /// Lower is better.
+    score: f64,
+}
+
+/// Draws a candidate in proportion to its free places.
+fn draw(candidates: &[Candidate], random: u64) -> Option<&Candidate> {
+    let total: u64 = candidates.iter().map(|c| u64::from(c.free)).sum();
+    let mut place = random.checked_rem(total)?;
+    candidates.iter().find(|candidate| {
+        let free = u64::from(candidate.free);
+        let found = place < free;
+        place = place.saturating_sub(free);
+        found
+    })
+}
