Choose targets by the prompts that they still have to read and their measured pace

Change: entries share prompt tokens sent and not yet read and the pace of events for each target; a target's score is the tokens to read times its pace; messages are smaller and, with many entries, rarer, since bytes between zones had become the highest price (trial: 0.069 to 0.091).

--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -7,7 +7,7 @@
 use ebonylug_core::{Clock, Name};
 use ebonylug_dispatch::{
     Ask, Asked, Config, Decision, Freshness, Gossip, Outcome, Peers, Quotas, Reason, Refusal,
-    RetryBudget, Running, Scheduler, Target, TargetKey, WaitKey,
+    RetryBudget, Scheduler, Target, TargetKey, WaitKey,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -55,7 +55,7 @@
     budgets: HashMap<Name, RetryBudget>,
     freshness: Freshness,
     peers: Peers,
-    waiters: HashMap<WaitKey, oneshot::Sender<Result<Grant, Refusal>>>,
+    waiters: HashMap<WaitKey, Waiter>,
     rng: ChaCha8Rng,
     sequence: u64,
     targets_known: bool,
@@ -260,14 +260,16 @@
     /// Waits until a target may be used.
     pub(crate) async fn grant(self: &Rc<Self>, ask: Ask) -> Result<Grant, Refusal> {
         let now = self.clock.now();
+        let prompt = ask.prompt;
         let asked = self.state.borrow_mut().scheduler.ask(now, ask);
         let key = match asked {
-            Asked::Send(target) => return Ok(Grant::new(self, target)),
+            Asked::Send(target) => return Ok(Grant::new(self, target, prompt)),
             Asked::Refuse(refusal) => return Err(refusal),
             Asked::Wait(key) => key,
         };
         let (sender, receiver) = oneshot::channel();
-        self.state.borrow_mut().waiters.insert(key, sender);
+        let waiter = Waiter { sender, prompt };
+        self.state.borrow_mut().waiters.insert(key, waiter);
         let _ticket = Ticket {
             entry: Rc::clone(self),
             key,
@@ -301,15 +303,16 @@
             ready.push((state.waiters.remove(&key), decision));
         }
         drop(state);
-        for (sender, decision) in ready {
+        for (waiter, decision) in ready {
+            let Some(Waiter { sender, prompt }) = waiter else {
+                continue;
+            };
             let answer = match decision {
-                Decision::Send(target) => Ok(Grant::new(self, target)),
+                Decision::Send(target) => Ok(Grant::new(self, target, prompt)),
                 Decision::Refuse(refusal) => Err(refusal),
             };
             // A receiver that is gone drops the grant, which frees the target.
-            if let Some(sender) = sender {
-                let _ = sender.send(answer);
-            }
+            let _ = sender.send(answer);
         }
     }
 
@@ -324,11 +327,7 @@
     pub(crate) fn gossip(&self) -> Gossip {
         let mut state = self.state.borrow_mut();
         state.sequence += 1;
-        let running = state.scheduler.own().map(|(target, requests)| Running {
-            target,
-            requests: u16::try_from(requests).unwrap_or(u16::MAX),
-            failures: 0,
-        });
+        let running = state.scheduler.own(self.clock.now()).collect();
         Gossip {
             entry: self.settings.name.as_str().into(),
             boot: self.boot,
@@ -338,7 +337,7 @@
             confirmed: state.freshness.confirmed().map(millis),
             leaving: self.stopping.get(),
             used: state.quotas.used().collect(),
-            running: running.collect(),
+            running,
         }
     }
 
@@ -407,17 +406,26 @@
     }
 }
 
+/// Where the decision about a request that waits goes.
+struct Waiter {
+    sender: oneshot::Sender<Result<Grant, Refusal>>,
+    prompt: u32,
+}
+
 /// A place at a target. Dropping it frees the place.
 pub(crate) struct Grant {
     entry: Rc<Entry>,
     target: TargetKey,
+    /// Prompt tokens that the target has to read.
+    prompt: Cell<u32>,
     outcome: Cell<Outcome>,
     pace: Cell<Option<f64>>,
 }
 
 impl Grant {
-    fn new(entry: &Rc<Entry>, target: TargetKey) -> Self {
+    fn new(entry: &Rc<Entry>, target: TargetKey, prompt: u32) -> Self {
         Grant {
+            prompt: Cell::new(prompt),
             entry: Rc::clone(entry),
             target,
             outcome: Cell::new(Outcome::Withdrawn),
@@ -429,6 +437,15 @@
         self.target
     }
 
+    /// Notes that the target has read the prompt.
+    pub(crate) fn read(&self) {
+        let prompt = self.prompt.take();
+        if prompt > 0 {
+            let mut state = self.entry.state.borrow_mut();
+            state.scheduler.read(self.target, prompt);
+        }
+    }
+
     /// Sets what the attempt showed about the target.
     pub(crate) fn note(&self, outcome: Outcome) {
         self.outcome.set(outcome);
@@ -445,6 +462,7 @@
         let now = self.entry.clock.now();
         let mut state = self.entry.state.borrow_mut();
         let (outcome, pace) = (self.outcome.get(), self.pace.get());
+        state.scheduler.read(self.target, self.prompt.get());
         state.scheduler.ended(now, self.target, outcome, pace);
         drop(state);
         self.entry.pump();
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -255,6 +255,7 @@
             patience: patience.min(left),
             after: (left / 4).clamp(MIN_RETURN, MAX_RETURN),
             model: self.model,
+            prompt: if self.model { self.call.prompt(&self.entry.dialect) } else { 0 },
         }
     }
 
--- a/crates/ebonylug-direct/src/peers.rs
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -1,6 +1,6 @@
 //! Exchanges what entries know, in datagrams.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,6 +16,9 @@
 /// Time between two messages while loads change. What an entry knows of the others is as old as
 /// this, and what all entries send to a target within this time is a guess.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
+/// The same for each entry that gets the messages, so that their bytes do not grow with the square of
+/// the entries.
+const INTERVAL_EACH: Duration = Duration::from_millis(4);
 /// Time between two messages while nothing changes; entries that are silent for four of these count
 /// as unheard.
 const MAX_INTERVAL: Duration = Duration::from_millis(150);
@@ -27,6 +30,8 @@
     entry: Rc<Entry>,
     socket: UdpSocket,
     addresses: RefCell<HashMap<Name, SocketAddr>>,
+    /// When a message last told the use of quotas.
+    quotas: Cell<Option<tokio::time::Instant>>,
 }
 
 impl Exchange {
@@ -41,6 +46,7 @@
             entry,
             socket,
             addresses: RefCell::default(),
+            quotas: Cell::default(),
         }))
     }
 
@@ -58,8 +64,11 @@
         let mut told = 0;
         let mut silent = Duration::ZERO;
         loop {
-            tokio::time::sleep(MIN_INTERVAL).await;
-            silent += MIN_INTERVAL;
+            let entries = u32::try_from(self.addresses.borrow().len()).unwrap_or(u32::MAX);
+            let pause = INTERVAL_EACH.saturating_mul(entries);
+            let pause = pause.clamp(MIN_INTERVAL, MAX_INTERVAL);
+            tokio::time::sleep(pause).await;
+            silent += pause;
             let changes = self.entry.load_changes();
             if changes == told && silent < MAX_INTERVAL {
                 continue;
@@ -74,7 +83,14 @@
 
     /// Sends one message to each other entry.
     pub async fn tell(&self) {
-        let gossip = self.entry.gossip();
+        let mut gossip = self.entry.gossip();
+        // Quotas change slowly next to loads.
+        let quotas = self.quotas.get().is_none_or(|time| time.elapsed() >= MAX_INTERVAL);
+        if quotas {
+            self.quotas.set(Some(tokio::time::Instant::now()));
+        } else {
+            gossip.used.clear();
+        }
         let bytes = match codec().serialize(&gossip) {
             Ok(bytes) => bytes,
             Err(error) => {
--- a/crates/ebonylug-direct/src/request.rs
+++ b/crates/ebonylug-direct/src/request.rs
@@ -212,6 +212,12 @@
         Some((prompt.trim().parse().ok()?, answer.trim().parse().ok()?))
     }
 
+    /// Returns the tokens of the prompt, or 0 if the caller does not say.
+    pub(crate) fn prompt(&self, dialect: &Dialect) -> u32 {
+        let (prompt, _) = self.tokens(dialect).unwrap_or_default();
+        u32::try_from(prompt).unwrap_or(u32::MAX)
+    }
+
     /// Returns the id of the prompt's last part, which is the caller's own or its session's.
     pub(crate) fn subject(&self, dialect: &Dialect) -> Option<u64> {
         let text = self.headers.get(&dialect.parts)?.to_str().ok()?;
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -46,6 +46,7 @@
         };
         match events.part(opened, limit).await {
             Part::Events(bytes) => {
+                opened.grant.read();
                 events.begun = Instant::now();
                 events.before = events.begun;
                 events.ready = Some(bytes);
@@ -133,6 +134,7 @@
             let part = self.events.part(&mut opened, self.job.call.limit).await;
             let error = match part {
                 Part::Events(bytes) => {
+                    opened.grant.read();
                     let now = Instant::now();
                     let pause = now.duration_since(self.events.before);
                     self.events.pause = self.events.pause.max(pause);
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::quota::Standing;
+use crate::target::Others;
 
 /// An entry that was not heard for this long is left out of the load of targets and counts as
 /// unheard. Four messages may be lost.
@@ -13,15 +14,20 @@
 /// An entry that was not heard for this long is gone. Partitions are shorter, mostly.
 const KNOWN: Duration = Duration::from_secs(30);
 
+/// The unit of paces in messages, in seconds.
+pub(crate) const PACE_UNIT: f64 = 1e-4;
+
 /// Requests of one entry at one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
-    /// The hash of the target's name.
-    pub target: u64,
+    /// The short hash of the target's name.
+    pub target: u32,
     /// Requests that were sent and have not ended.
     pub requests: u16,
-    /// Failures of the last seconds, in a row.
-    pub failures: u16,
+    /// Prompt tokens of those that have produced nothing yet.
+    pub prefill: u32,
+    /// The mean time for a unit of work that the entry measured, in tenths of a millisecond; 0 if none.
+    pub pace: u16,
 }
 
 /// What an entry tells the others, several times per second. Each message states totals, so that a
@@ -43,8 +49,9 @@
     pub confirmed: Option<u64>,
     /// Whether it is about to stop.
     pub leaving: bool,
-    /// Tokens used by each organisation since the boot, by hash of its name.
-    pub used: Vec<(u64, f64)>,
+    /// Tokens used by each organisation since the boot, by short hash of its name. Organisations may
+    /// be left out.
+    pub used: Vec<(u32, u64)>,
     /// Its requests at targets.
     pub running: Vec<Running>,
 }
@@ -53,7 +60,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct News {
     /// Tokens that were used since the last message, by organisation.
-    pub used: SmallVec<[(u64, f64); 8]>,
+    pub used: SmallVec<[(u32, f64); 8]>,
     /// Whether the entry was not known before.
     pub joined: bool,
     /// The version of the sender's configuration, and this entry's uptime for which the sender knew
@@ -68,7 +75,7 @@
     heard: Instant,
     /// The least difference between the time of receipt and the time of sending, in milliseconds.
     offset: i64,
-    used: HashMap<u64, f64>,
+    used: HashMap<u32, u64>,
     running: Vec<Running>,
 }
 
@@ -105,8 +112,8 @@
             Some(peer) if peer.sequence >= gossip.sequence => return None,
             Some(peer) => {
                 for &(organisation, total) in &gossip.used {
-                    let before = peer.used.get(&organisation).copied().unwrap_or(0.0);
-                    news.used.push((organisation, total - before));
+                    let before = peer.used.get(&organisation).copied().unwrap_or(0);
+                    news.used.push((organisation, total as f64 - before as f64));
                 }
             }
             None => news.joined = true,
@@ -118,12 +125,15 @@
             let local = i64::try_from(time).unwrap_or(0).saturating_add(offset).max(0);
             (gossip.config, Duration::from_millis(local.unsigned_abs()))
         });
+        let known = self.peers.remove(&entry).filter(|peer| peer.boot == gossip.boot);
+        let mut used = known.map_or_else(HashMap::new, |peer| peer.used);
+        used.extend(gossip.used);
         let peer = Peer {
             offset,
             boot: gossip.boot,
             sequence: gossip.sequence,
             heard: now,
-            used: gossip.used.into_iter().collect(),
+            used,
             running: gossip.running,
         };
         self.peers.insert(entry, peer);
@@ -147,13 +157,19 @@
         }
     }
 
-    /// Returns the requests of all other entries at each target.
+    /// Returns what all other entries say of each target, by hash of its name.
     #[must_use]
-    pub fn running(&self, now: Instant) -> HashMap<u64, u32> {
-        let mut sums = HashMap::new();
+    pub fn running(&self, now: Instant) -> HashMap<u32, Others> {
+        let mut sums: HashMap<u32, Others> = HashMap::new();
         for peer in self.peers.values().filter(|peer| peer.is_heard(now)) {
             for running in &peer.running {
-                *sums.entry(running.target).or_insert(0) += u32::from(running.requests);
+                let sum = sums.entry(running.target).or_default();
+                sum.requests += u32::from(running.requests);
+                sum.prefill = sum.prefill.saturating_add(running.prefill);
+                if running.pace > 0 {
+                    sum.pace += f64::from(running.pace) * PACE_UNIT;
+                    sum.paces += 1;
+                }
             }
         }
         sums
--- a/crates/ebonylug-dispatch/src/hash.rs
+++ b/crates/ebonylug-dispatch/src/hash.rs
@@ -9,6 +9,11 @@
     u64::from_le_bytes(first)
 }
 
+/// Shortens a hash, for messages.
+pub(crate) fn short(hash: u64) -> u32 {
+    (hash >> 32) as u32
+}
+
 /// Mixes two hashes, for rendezvous hashing.
 pub(crate) fn mix(a: u64, b: u64) -> u64 {
     // The finalizer of SplitMix64.
--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -42,5 +42,5 @@
 pub use quota::{Quotas, Standing};
 pub use refusal::{Reason, Refusal};
 pub use scheduler::{Ask, Asked, Decision, Scheduler, Settings};
-pub use target::{Target, TargetKey, TargetState};
+pub use target::{Others, Target, TargetKey, TargetState};
 pub use waiting::WaitKey;
--- a/crates/ebonylug-dispatch/src/quota.rs
+++ b/crates/ebonylug-dispatch/src/quota.rs
@@ -4,7 +4,7 @@
 use ebonylug_core::Name;
 
 use crate::config::{Config, Quota};
-use crate::hash::hash_of;
+use crate::hash::{hash_of, short};
 
 /// How much of the fleet of entries can be heard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,7 +28,7 @@
 /// the sum holds while the fleet is partitioned.
 #[derive(Debug, Default)]
 pub struct Quotas {
-    buckets: HashMap<u64, Bucket>,
+    buckets: HashMap<u32, Bucket>,
 }
 
 #[derive(Debug)]
@@ -48,7 +48,7 @@
             let Some(quota) = organisation.quota else {
                 continue;
             };
-            let hash = hash_of(organisation.name.as_str());
+            let hash = key(&organisation.name);
             let bucket = match self.buckets.remove(&hash) {
                 Some(mut bucket) => {
                     bucket.fill(now, standing);
@@ -81,7 +81,7 @@
         tokens: f64,
         standing: Standing,
     ) -> Result<(), Duration> {
-        let Some(bucket) = self.buckets.get_mut(&hash_of(organisation.as_str())) else {
+        let Some(bucket) = self.buckets.get_mut(&key(organisation)) else {
             return Ok(());
         };
         bucket.fill(now, standing);
@@ -98,25 +98,30 @@
 
     /// Gives back tokens of a request that did not run.
     pub fn give_back(&mut self, organisation: &Name, tokens: f64) {
-        if let Some(bucket) = self.buckets.get_mut(&hash_of(organisation.as_str())) {
+        if let Some(bucket) = self.buckets.get_mut(&key(organisation)) {
             bucket.level += tokens;
             bucket.used -= tokens;
         }
     }
 
     /// Takes out what another entry has used.
-    pub fn used_elsewhere(&mut self, organisation: u64, tokens: f64) {
+    pub fn used_elsewhere(&mut self, organisation: u32, tokens: f64) {
         if let Some(bucket) = self.buckets.get_mut(&organisation) {
             bucket.level = (bucket.level - tokens).max(-bucket.quota.burst);
         }
     }
 
-    /// Returns what this entry has used, by hash of the organisation's name.
-    pub fn used(&self) -> impl Iterator<Item = (u64, f64)> {
-        self.buckets.iter().map(|(&hash, bucket)| (hash, bucket.used))
+    /// Returns what this entry has used, by short hash of the organisation's name.
+    pub fn used(&self) -> impl Iterator<Item = (u32, u64)> {
+        let used = self.buckets.iter().filter(|(_, bucket)| bucket.used > 0.0);
+        used.map(|(&hash, bucket)| (hash, bucket.used as u64))
     }
 }
 
+fn key(organisation: &Name) -> u32 {
+    short(hash_of(organisation.as_str()))
+}
+
 impl Bucket {
     fn fill(&mut self, now: Instant, standing: Standing) {
         let time = now.saturating_duration_since(self.filled).as_secs_f64();
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -6,10 +6,11 @@
 use smallvec::SmallVec;
 
 use crate::cold::ColdRate;
-use crate::hash::{hash_of, mix};
+use crate::hash::{hash_of, mix, short};
 use crate::health::{Health, Outcome};
 use crate::refusal::{Reason, Refusal};
-use crate::target::{Known, Target, TargetKey, TargetState};
+use crate::gossip::{PACE_UNIT, Running};
+use crate::target::{Known, Others, Target, TargetKey, TargetState};
 use crate::waiting::{WaitKey, Waiting};
 
 /// What the scheduler may use of a target.
@@ -24,6 +25,11 @@
     pub queued: u32,
     /// Requests that wait, over all services.
     pub capacity: usize,
+    /// For each rank, the prompt tokens that a model engine of average speed may have to read when a
+    /// request is sent to it. The last one holds for all further ranks.
+    pub backlog: [u32; 3],
+    /// Targets that are drawn, of which the best one is taken.
+    pub choices: u64,
     /// How much busier than the least busy target the target with a warm cache may be, in requests.
     pub affinity: u32,
 }
@@ -34,6 +40,8 @@
             reserve: [0.0, 0.03, 0.10],
             beyond: 0,
             queued: 2,
+            backlog: [8_000, 5_000, 4_000],
+            choices: 3,
             capacity: 400,
             affinity: 2,
         }
@@ -57,6 +65,8 @@
     pub after: Duration,
     /// Whether the service is a model engine.
     pub model: bool,
+    /// Tokens of the prompt.
+    pub prompt: u32,
 }
 
 /// The immediate answer to an [`Ask`].
@@ -169,10 +179,12 @@
                     info,
                     hash,
                     own: 0,
-                    others: 0,
+                    prefill: 0,
+                    others: Others::default(),
                     health: Health::default(),
                     cold: None,
                     pace: None,
+                    paced: None,
                 });
                 self.services.entry(service).or_default().push(key);
                 self.names.insert(name, key);
@@ -231,17 +243,24 @@
         }
     }
 
-    /// Sets the requests of all other entries at each target, by hash of its name.
-    pub fn set_others(&mut self, running: &HashMap<u64, u32>) {
+    /// Sets what all other entries say of each target, by hash of its name.
+    pub fn set_others(&mut self, running: &HashMap<u32, Others>) {
         for known in self.targets.values_mut() {
-            known.others = running.get(&known.hash).copied().unwrap_or(0);
+            known.others = running.get(&short(known.hash)).copied().unwrap_or_default();
         }
     }
 
-    /// Returns the requests of this entry at each target that has any, by hash of its name.
-    pub fn own(&self) -> impl Iterator<Item = (u64, u32)> {
-        let busy = self.targets.values().filter(|known| known.own > 0);
-        busy.map(|known| (known.hash, known.own))
+    /// Returns what this entry has to say of targets.
+    pub fn own(&self, now: Instant) -> impl Iterator<Item = Running> {
+        self.targets.values().filter_map(move |known| {
+            let pace = known.recent_pace(now);
+            (known.own > 0 || pace.is_some()).then(|| Running {
+                target: short(known.hash),
+                requests: u16::try_from(known.own).unwrap_or(u16::MAX),
+                prefill: known.prefill,
+                pace: pace.map_or(0, |pace| (pace / PACE_UNIT).clamp(1.0, 65_535.0) as u16),
+            })
+        })
     }
 
     /// Asks for a target.
@@ -254,7 +273,7 @@
         if self.waiting.ahead(ask.service.as_str(), ask.rank) == 0
             && let Some(key) = self.choose(now, &ask)
         {
-            self.sent(now, key);
+            self.sent(now, key, ask.prompt);
             return Asked::Send(key);
         }
         if ask.patience.is_zero() || self.waiting.len() >= self.settings.capacity {
@@ -292,7 +311,7 @@
                 self.choose(now, &waiter.ask)
             };
             if let Some(target) = chosen {
-                self.sent(now, target);
+                self.sent(now, target, waiter.ask.prompt);
                 decisions.push((key, Decision::Send(target)));
             } else if waiter.until <= now {
                 let refusal = self.refusal(Reason::Full, waiter.ask.after);
@@ -319,6 +338,14 @@
         self.waiting.len()
     }
 
+    /// Notes that a target has read a prompt of so many tokens, or will not read it any more.
+    pub fn read(&mut self, key: TargetKey, prompt: u32) {
+        if let Some(known) = self.targets.get_mut(key) {
+            known.prefill = known.prefill.saturating_sub(prompt);
+            self.changes += 1;
+        }
+    }
+
     /// Notes the end of a request at a target. `pace` is its time for each unit of work, in seconds.
     pub fn ended(&mut self, now: Instant, key: TargetKey, outcome: Outcome, pace: Option<f64>) {
         let Some(known) = self.targets.get_mut(key) else {
@@ -327,7 +354,7 @@
         known.own = known.own.saturating_sub(1);
         self.changes += 1;
         if let Some(pace) = pace {
-            known.learn(pace);
+            known.learn(now, pace);
         }
         // A target that comes back after an outage may have started anew, and then it is cold.
         if known.health.note(now, outcome) {
@@ -335,8 +362,9 @@
         }
     }
 
-    fn sent(&mut self, now: Instant, key: TargetKey) {
+    fn sent(&mut self, now: Instant, key: TargetKey, prompt: u32) {
         let known = &mut self.targets[key];
+        known.prefill = known.prefill.saturating_add(prompt);
         known.own += 1;
         self.changes += 1;
         if let Some(cold) = &mut known.cold {
@@ -382,8 +410,9 @@
     /// Chooses a target with a free place.
     ///
     /// Entries see each other's requests a little late. If all of them took the best target, they
-    /// would fill it several times over. So two targets are drawn, each in proportion to its free
-    /// places, and the better one is taken.
+    /// would fill it several times over. So a few targets are drawn, each in proportion to its free
+    /// places, and the best one is taken. A long prompt weighs more at a slow target than a short one,
+    /// so that long prompts go to fast targets.
     ///
     /// The cache of a prompt's own part is at the target that rendezvous hashing gives, which all
     /// entries compute alike; it is taken unless it is much busier than the least busy one.
@@ -392,30 +421,50 @@
             return None;
         }
         let keys = self.services.get(&ask.service)?;
+        let average = self.average_pace(now, keys);
         let mut candidates: SmallVec<[Candidate; 48]> = SmallVec::new();
         for &key in keys {
             let known = &self.targets[key];
             let free = self.limit(known, ask).saturating_sub(known.load());
-            let tried = ask.tried.contains(&key);
-            if free > 0 && !tried && known.is_open(now) && self.is_usable(known, ask) {
-                let pace = known.pace.map_or(1.0, |pace| pace.max(1e-6));
-                let failures = 1.0 + 4.0 * known.health.failures();
-                candidates.push(Candidate {
-                    key,
-                    hash: known.hash,
-                    load: known.load(),
-                    free,
-                    score: f64::from(known.load() + 1) * pace * failures,
-                });
+            if free == 0
+                || ask.tried.contains(&key)
+                || !known.is_open(now)
+                || !self.is_usable(known, ask)
+            {
+                continue;
+            }
+            let pace = known.shared_pace(now).map_or(1.0, |pace| pace / average);
+            let pace = pace.clamp(MIN_PACE, MAX_PACE);
+            if ask.model && f64::from(known.backlog()) * pace > self.backlog(ask) {
+                continue;
             }
+            candidates.push(Candidate {
+                key,
+                hash: known.hash,
+                load: known.load(),
+                free,
+                score: score(known, ask, pace),
+            });
         }
         if let Some(key) = self.home(ask, &candidates) {
             return Some(key);
         }
-        let first = draw(&candidates, mix(self.draws, 1))?;
-        let second = draw(&candidates, mix(self.draws, 2))?;
-        let better = if second.score < first.score { second } else { first };
-        Some(better.key)
+        let drawn = (1..=self.settings.choices).filter_map(|n| draw(&candidates, mix(self.draws, n)));
+        let best = drawn.min_by(|a, b| a.score.total_cmp(&b.score))?;
+        Some(best.key)
+    }
+
+    fn backlog(&self, ask: &Ask) -> f64 {
+        f64::from(self.settings.backlog[usize::from(ask.rank).min(2)])
+    }
+
+    fn average_pace(&self, now: Instant, keys: &[TargetKey]) -> f64 {
+        let paces = keys.iter().filter_map(|&key| self.targets[key].shared_pace(now));
+        let (sum, count) = paces.fold((0.0, 0), |(sum, count), pace| (sum + pace, count + 1));
+        if count == 0 {
+            return 1.0;
+        }
+        (sum / f64::from(count)).max(f64::MIN_POSITIVE)
     }
 
     /// Returns the target that has the cache of the prompt's own part, if it is not too busy.
@@ -448,6 +497,23 @@
     score: f64,
 }
 
+/// Bounds of a target's pace relative to the mean of its service.
+const MIN_PACE: f64 = 0.3;
+const MAX_PACE: f64 = 4.0;
+/// Prompt tokens that take as long to read as one more request beside the others slows a target down.
+const TOKENS_PER_REQUEST: f64 = 400.0;
+
+/// Estimates when a target would answer, in tokens to read at average speed.
+fn score(known: &Known, ask: &Ask, pace: f64) -> f64 {
+    let failures = 1.0 + 4.0 * known.health.failures();
+    let tokens = if ask.model {
+        f64::from(known.backlog().saturating_add(ask.prompt))
+    } else {
+        0.0
+    };
+    (tokens + TOKENS_PER_REQUEST * f64::from(known.load() + 1)) * pace * failures
+}
+
 /// Draws a candidate in proportion to its free places.
 fn draw(candidates: &[Candidate], random: u64) -> Option<&Candidate> {
     let total: u64 = candidates.iter().map(|c| u64::from(c.free)).sum();
--- a/crates/ebonylug-dispatch/src/target.rs
+++ b/crates/ebonylug-dispatch/src/target.rs
@@ -44,7 +44,9 @@
 }
 
 /// Weight of a new sample in the average pace.
-const PACE_WEIGHT: f64 = 0.1;
+const PACE_WEIGHT: f64 = 0.3;
+/// Age at which a measured pace is not used any more: a target's load has changed since.
+const PACE_AGE: Duration = Duration::from_secs(4);
 
 /// What the scheduler knows of a target.
 #[derive(Debug)]
@@ -53,20 +55,58 @@
     pub(crate) hash: u64,
     /// Requests of this entry that were sent and have not ended.
     pub(crate) own: u32,
-    /// The same of all other entries.
-    pub(crate) others: u32,
+    /// Prompt tokens of those that have produced nothing yet.
+    pub(crate) prefill: u32,
+    /// What all other entries say of this target.
+    pub(crate) others: Others,
     pub(crate) health: Health,
     pub(crate) cold: Option<ColdRate>,
     /// Mean time for each unit of work, in seconds; `None` before the first sample.
     pub(crate) pace: Option<f64>,
+    /// When the pace was last measured.
+    pub(crate) paced: Option<Instant>,
+}
+
+/// What all other entries say of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Others {
+    /// Their requests that were sent and have not ended.
+    pub requests: u32,
+    /// Prompt tokens of those that have produced nothing yet.
+    pub prefill: u32,
+    /// The sum of their mean times for a unit of work, in seconds.
+    pub pace: f64,
+    /// How many of them know a pace.
+    pub paces: u32,
 }
 
 impl Known {
     pub(crate) fn load(&self) -> u32 {
-        self.own + self.others
+        self.own + self.others.requests
+    }
+
+    /// Returns the prompt tokens that the target has to read.
+    pub(crate) fn backlog(&self) -> u32 {
+        self.prefill + self.others.prefill
+    }
+
+    /// Returns the time for each unit of work, as all entries measured it.
+    pub(crate) fn shared_pace(&self, now: Instant) -> Option<f64> {
+        let own = self.recent_pace(now);
+        let sum = self.others.pace + own.unwrap_or(0.0);
+        let count = self.others.paces + u32::from(own.is_some());
+        (count > 0).then(|| sum / f64::from(count))
+    }
+
+    /// Returns this entry's own measure, unless it is old.
+    pub(crate) fn recent_pace(&self, now: Instant) -> Option<f64> {
+        let time = self.paced?;
+        self.pace
+            .filter(|_| now.saturating_duration_since(time) < PACE_AGE)
     }
 
-    pub(crate) fn learn(&mut self, pace: f64) {
+    pub(crate) fn learn(&mut self, now: Instant, pace: f64) {
+        self.paced = Some(now);
         let mean = self.pace.get_or_insert(pace);
         *mean += (pace - *mean) * PACE_WEIGHT;
     }
