End the readers of an answer whose task is gone

Cause: a_dead_sidecar_leaves_its_attempts_unknown gave no answer within 60 s once. When a sidecar dies, the task that writes an answer is dropped; if its HTTP server still holds the connection at that time, the reader sends keep-alives for ever, and the entry takes the target for slow. Ruled out: the entry's time limits (it waits as long as keep-alives come). Change: the task holds a guard whose drop ends the readers; the entry then asks the sidecar and finds the attempt unknown.

--- a/crates/ebonylug-sidecar/src/answer.rs
+++ b/crates/ebonylug-sidecar/src/answer.rs
@@ -1,3 +1,5 @@
+//! The answer of an attempt, between the task that writes it and the entries that read it.
+
 use std::collections::VecDeque;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -40,6 +42,21 @@
     readers: usize,
     /// Whether a reader has received the end.
     delivered: bool,
+    /// Whether the task that writes the answer is gone without having ended it.
+    abandoned: bool,
+}
+
+/// Held by the task that writes an answer.
+///
+/// A task that is dropped ends the answer's readers. They would otherwise send keep-alives for an
+/// attempt that nobody works on, and the entry would wait for it without end.
+#[derive(Debug)]
+pub struct Writer(std::sync::Arc<Answer>);
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        self.0.change(|state| state.abandoned = true);
+    }
 }
 
 /// The requested part of the answer is no longer retained.
@@ -53,8 +70,15 @@
     Ended,
 }
 
+impl Default for Answer {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Answer {
     /// Creates an answer without content.
+    #[must_use]
     pub fn new() -> Self {
         Answer {
             state: Mutex::default(),
@@ -62,6 +86,12 @@
         }
     }
 
+    /// Marks the answer as being written until the guard is dropped.
+    #[must_use]
+    pub fn writer(self: &std::sync::Arc<Self>) -> Writer {
+        Writer(std::sync::Arc::clone(self))
+    }
+
     /// Stores the head.
     pub fn set_head(&self, head: Head) {
         self.change(|state| state.head = Some(head));
@@ -255,6 +285,10 @@
                 state.delivered = true;
                 Next::Frame(Frame::Tail(tail), 0)
             }
+            None if state.abandoned => {
+                self.ended = true;
+                Next::Ended
+            }
             None => Next::Wait,
         }
     }
--- a/crates/ebonylug-sidecar/src/http.rs
+++ b/crates/ebonylug-sidecar/src/http.rs
@@ -90,9 +90,11 @@
         Verdict::Run(attempt) => {
             let answer = Arc::clone(&attempt.answer);
             let runner = Arc::clone(&shared);
+            let writer = answer.writer();
             // The attempt runs on, whatever becomes of the entry's connection.
             shared.tasks.spawn(async move {
                 runner.run(call, attempt).await;
+                drop(writer);
                 drop(work);
             });
             stream(&shared, answer, 0)
--- a/crates/ebonylug-sidecar/src/lib.rs
+++ b/crates/ebonylug-sidecar/src/lib.rs
@@ -10,7 +10,7 @@
 //!
 //! The decisions are those of `ebonylug-admission`; this crate connects them to sockets.
 
-mod answer;
+pub mod answer;
 mod control;
 mod core;
 mod events;
