Ask store and seeds at a start in spite of announcements; let the last requests of a case end

Cause 1: a process without a configuration tried each announced peer first; peers that it cannot reach and that announce faster than the retry interval kept it from the store and its seeds. Test: announcements_of_unreachable_peers_do_not_hold_up_a_start fails without the change. Ruled out: a leak (with a four times longer case all ended).

--- a/crates/ebonylug-config/src/state.rs
+++ b/crates/ebonylug-config/src/state.rs
@@ -91,6 +91,8 @@
     fetching: Option<(SourceId, Instant)>,
     /// Counts the fetches of a process without a configuration.
     turn: usize,
+    /// Whether the last source was a peer that announced a higher revision.
+    announced_last: bool,
     next_poll: Instant,
     not_before: Instant,
 }
@@ -111,6 +113,7 @@
             announced: Vec::new(),
             fetching: None,
             turn: 0,
+            announced_last: false,
             next_poll: now,
             not_before: now,
         }
@@ -226,13 +229,17 @@
         if now < self.not_before {
             return None;
         }
+        // A process without a configuration does not rely on announcements alone: it may not be able
+        // to reach the peers that announce, and hear of them again and again.
+        if !self.is_ready() && (self.announced.is_empty() || self.announced_last) {
+            self.announced_last = false;
+            return Some(self.first_source());
+        }
         // Each announcement is tried once; if the peer fails, the next one is tried.
         if let Some((peer, _)) = self.announced.pop() {
+            self.announced_last = true;
             return Some(SourceId::Peer(peer));
         }
-        if !self.is_ready() {
-            return Some(self.first_source());
-        }
         if now < self.next_poll {
             return None;
         }
--- a/crates/ebonylug-config/tests/state.rs
+++ b/crates/ebonylug-config/tests/state.rs
@@ -385,3 +385,25 @@
     assert_eq!(pollers(&names[..2], 3).len(), 2);
     assert_eq!(pollers(&[], 3), []);
 }
+
+/// Guards against a process that never asks the store or its seeds at its start, because peers that it
+/// cannot reach announce a configuration faster than it can try them.
+#[test]
+fn announcements_of_unreachable_peers_do_not_hold_up_a_start() {
+    let clock = ManualClock::new();
+    let mut state = ConfigState::new(Settings::default(), clock.now());
+    let seed = Name::new("seed");
+    state.set_peers(vec![seed.clone()]);
+    let mut asked = Vec::new();
+    for _ in 0..40 {
+        state.heard(&Name::new("entry-1"), Revision(1));
+        state.heard(&Name::new("entry-2"), Revision(1));
+        if let Some(source) = state.tick(clock.now()) {
+            state.fetched(clock.now(), &source, Fetched::Failed);
+            asked.push(source);
+        }
+        clock.advance(Duration::from_millis(100));
+    }
+    assert!(asked.contains(&SourceId::Store), "asked {asked:?}");
+    assert!(asked.contains(&SourceId::Peer(seed)), "asked {asked:?}");
+}
--- a/crates/ebonylug-measure/src/dispatch.rs
+++ b/crates/ebonylug-measure/src/dispatch.rs
@@ -16,6 +16,10 @@
 /// The loads, as multiples of the capacity.
 pub const LOADS: [f64; 4] = [0.7, 1.0, 1.5, 3.0];
 
+/// Time after the last deadline in which requests that run at their deadline end. The longest answers
+/// take some minutes on an engine that is shared with urgent work.
+const LAST_ANSWERS: u64 = 600 * SECOND;
+
 /// The length of a case.
 #[derive(Clone, Copy, Debug)]
 pub struct Length {
@@ -81,7 +85,8 @@
         .map(|job| job.work(&deployment.routes[job.route]))
         .sum();
     let batch_offered = work * SECOND as f64 / total as f64;
-    let end = 3 * total + 120 * SECOND;
+    let due = jobs.iter().map(|job| job.deadline).max().unwrap_or(total);
+    let end = due.max(3 * total) + LAST_ANSWERS;
     let window = (length.warm_up, total);
     let mut product = Product::new(seed);
     let core = run(
