--- a/crates/ebonylug-demo/src/main.rs
+++ b/crates/ebonylug-demo/src/main.rs
@@ -25,9 +25,7 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let arguments = arguments().run();
-    if arguments.verbose {
-        logs::start(logs::Format::Text);
-    }
+    let _log = arguments.verbose.then(|| logs::start(logs::Format::Text));
     match tokio::time::timeout(TIMEOUT, run(&arguments)).await {
         Ok(Ok(true)) => ExitCode::SUCCESS,
         Ok(Ok(false)) => {
--- a/crates/ebonylug-direct/src/answer.rs
+++ b/crates/ebonylug-direct/src/answer.rs
@@ -41,6 +41,14 @@
         }
     }
 
+    pub(crate) fn outcome(self) -> &'static str {
+        match self {
+            Rejection::Refused(_) => "refused",
+            Rejection::Invalid(..) => "invalid",
+            Rejection::Unknown(..) => "unknown",
+        }
+    }
+
     pub(crate) fn reason(self) -> &'static str {
         match self {
             Rejection::Refused(refusal) => refusal.reason.as_str(),
@@ -69,6 +77,13 @@
     answer
 }
 
+/// Makes a page of text.
+pub(crate) fn text(page: String) -> Answer {
+    let mut answer = own(StatusCode::OK, "");
+    *answer.body_mut() = Either::Left(Full::new(page.into()));
+    answer
+}
+
 /// Makes a streamed body.
 pub(crate) fn streamed<S>(parts: S) -> Body
 where
--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -2,7 +2,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ebonylug_core::{Clock, Name};
 use ebonylug_dispatch::{
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 
 use crate::dialect::Dialect;
+use crate::instruments::{Instruments, Levels};
 use crate::pool::Pool;
 use crate::uptime::Uptime;
 
@@ -41,6 +42,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) uptime: Box<dyn Uptime>,
     pub(crate) pool: Pool,
+    pub(crate) instruments: Instruments,
     pub(crate) body_bytes: Cell<usize>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) active: Cell<usize>,
@@ -93,6 +95,7 @@
             clock,
             uptime,
             pool: Pool::default(),
+            instruments: Instruments::new(),
             body_bytes: Cell::new(0),
             stopping: Cell::new(false),
             active: Cell::new(0),
@@ -136,11 +139,18 @@
         self.state.borrow_mut().freshness.confirm(time);
     }
 
-    /// Returns how long ago the configuration was last known to be current.
+    /// Returns how long ago the configuration was last known to be current. If another entry has a
+    /// newer one, it is as old as can be: the read that waits for it is on a connection that delivers
+    /// nothing.
     #[must_use]
     pub fn config_age(&self) -> Option<Duration> {
         let now = self.uptime.uptime();
-        self.state.borrow().freshness.age(now)
+        let state = self.state.borrow();
+        let version = state.config.as_ref()?.version;
+        if state.peers.newest_config() > version {
+            return Some(Duration::MAX);
+        }
+        state.freshness.age(now)
     }
 
     /// Reports whether keys may be accepted.
@@ -164,13 +174,16 @@
     /// Adds a target or takes over what has changed about it.
     pub fn put_target(self: &Rc<Self>, target: Target) {
         let now = self.clock.now();
-        self.state.borrow_mut().scheduler.put_target(now, target);
+        let mut state = self.state.borrow_mut();
+        put(&mut state.scheduler, now, target);
+        drop(state);
         self.pump();
     }
 
     /// Removes a target.
     pub fn remove_target(&self, name: &Name) {
-        self.state.borrow_mut().scheduler.remove_target(name);
+        let mut state = self.state.borrow_mut();
+        remove(&mut state.scheduler, name);
     }
 
     /// Replaces all targets by a list.
@@ -185,10 +198,10 @@
             .cloned()
             .collect();
         for name in gone {
-            state.scheduler.remove_target(&name);
+            remove(&mut state.scheduler, &name);
         }
         for target in targets {
-            state.scheduler.put_target(now, target);
+            put(&mut state.scheduler, now, target);
         }
         state.targets_known = true;
         drop(state);
@@ -199,6 +212,9 @@
     pub fn set_evacuated(&self, zones: HashSet<Name>) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
+        if state.scheduler.evacuated() != &zones {
+            tracing::info!(part = "targets", ?zones, "zones that get nothing");
+        }
         state.scheduler.set_evacuated(now, zones);
     }
 
@@ -290,6 +306,28 @@
         self.state.borrow().scheduler.changes()
     }
 
+    /// Counts a read of the store.
+    pub fn count_read(&self, table: &'static str, outcome: &'static str) {
+        self.instruments.read(table, outcome);
+    }
+
+    /// Writes all metrics in the text format. `dropped` is the number of log lines that were dropped.
+    #[must_use]
+    pub fn metrics(&self, dropped: usize) -> String {
+        let now = self.clock.now();
+        let state = self.state.borrow();
+        let levels = Levels {
+            waiting: state.scheduler.waiting(),
+            active: self.active.get(),
+            config_version: state.config.as_ref().map_or(0, |config| config.version),
+            config_age: state.freshness.age(self.uptime.uptime()),
+            heard: state.peers.standing(now).heard,
+            dropped,
+        };
+        drop(state);
+        self.instruments.render(levels)
+    }
+
     /// Returns the number of requests that wait.
     pub(crate) fn waiting(&self) -> usize {
         self.state.borrow().scheduler.waiting()
@@ -393,6 +431,31 @@
     }
 }
 
+fn put(scheduler: &mut Scheduler, now: Instant, target: Target) {
+    let known = scheduler.find(&target.name);
+    if known.is_none_or(|known| !known.is_same(&target)) {
+        tracing::info!(
+            part = "targets",
+            target = %target.name,
+            service = %target.service,
+            zone = %target.zone,
+            address = %target.address,
+            version = %target.version,
+            state = ?target.state,
+            cold_ms = millis(target.cold),
+            "target listed"
+        );
+    }
+    scheduler.put_target(now, target);
+}
+
+fn remove(scheduler: &mut Scheduler, name: &Name) {
+    if scheduler.find(name).is_some() {
+        tracing::info!(part = "targets", target = %name, "target gone");
+    }
+    scheduler.remove_target(name);
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
@@ -468,7 +531,13 @@
         let mut state = self.entry.state.borrow_mut();
         let (outcome, pace) = (self.outcome.get(), self.pace.get());
         state.scheduler.read(self.target, self.prompt.get());
-        state.scheduler.ended(now, self.target, outcome, pace);
+        let change = state.scheduler.ended(now, self.target, outcome, pace);
+        if let Some(change) = change
+            && let Some(target) = state.scheduler.target(self.target)
+        {
+            let change = change.as_str();
+            tracing::info!(part = "targets", target = %target.name, service = %target.service, ?outcome, change, "health of a target");
+        }
         drop(state);
         self.entry.pump();
     }
--- a/crates/ebonylug-direct/src/follow.rs
+++ b/crates/ebonylug-direct/src/follow.rs
@@ -120,6 +120,8 @@
     pub clock: Arc<dyn Clock>,
     /// Tells when rows were current.
     pub uptime: Box<dyn Uptime>,
+    /// Counts a read by its outcome.
+    pub count: Box<dyn Fn(&'static str)>,
 }
 
 impl<F: Feed> Follower<F> {
@@ -149,6 +151,11 @@
                     changes.map(|rows| (Told::Changed as fn(_) -> _, rows))
                 }
             };
+            (self.count)(match &read {
+                Ok(_) => "answered",
+                Err(Error::Compacted) => "compacted",
+                Err(Error::Failed(_)) => "failed",
+            });
             match read {
                 Ok((told, rows)) => {
                     if let Some(since) = lost.take() {
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -60,6 +60,7 @@
 struct Trace {
     request: String,
     route: Option<Name>,
+    kind: Option<Kind>,
     organisation: Option<Name>,
     config: u64,
     attempts: usize,
@@ -71,8 +72,13 @@
     let begun = Instant::now();
     let mut trace = Trace::default();
     let mut answer = match serve(&entry, request, active, &mut trace).await {
-        Ok(answer) => answer,
+        Ok(answer) => {
+            entry.instruments.first(begun.elapsed());
+            answer
+        }
         Err(rejection) => {
+            let (outcome, reason) = (rejection.outcome(), rejection.reason());
+            entry.instruments.ended(trace.kind, outcome, reason);
             tell(&entry, &trace, rejection, begun);
             rejection.answer()
         }
@@ -135,6 +141,7 @@
         Err(rejection) => return Err(rejection),
     };
     trace.route = Some(resolved.route.name.clone());
+    trace.kind = Some(resolved.route.kind);
     trace.organisation = resolved.organisation.as_ref().map(|o| o.name.clone());
     if resolved.organisation.is_some() && !fresh {
         return Err(refuse(Reason::Stale, STALE_RETURN));
@@ -162,6 +169,9 @@
     trace.attempts = job.tried.len();
     match begun? {
         Begun::Whole(head, body) => {
+            let failed = head.status.is_server_error();
+            let outcome = if failed { "failed_by_target" } else { "served" };
+            entry.instruments.ended(trace.kind, outcome, "");
             let mut answer = Response::new(Either::Left(Full::new(body)));
             *answer.status_mut() = head.status;
             *answer.headers_mut() = request::returned(&head.headers);
@@ -323,12 +333,13 @@
 
     /// Decides what follows a failed attempt: `Ok` for another one, or the final answer.
     fn after(&mut self, failure: Failure) -> request::Result<()> {
-        let (ran, status) = match &failure {
-            Failure::Unsent(_) => (false, StatusCode::SERVICE_UNAVAILABLE),
-            Failure::NotRun(status) => (false, *status),
-            Failure::Unknown(_) => (true, StatusCode::BAD_GATEWAY),
-            Failure::Late => (true, StatusCode::GATEWAY_TIMEOUT),
+        let (ran, status, cause) = match &failure {
+            Failure::Unsent(_) => (false, StatusCode::SERVICE_UNAVAILABLE, "unsent"),
+            Failure::NotRun(status) => (false, *status, "not_run"),
+            Failure::Unknown(_) => (true, StatusCode::BAD_GATEWAY, "unknown"),
+            Failure::Late => (true, StatusCode::GATEWAY_TIMEOUT, "late"),
         };
+        self.entry.instruments.failed(cause);
         tracing::info!(
             part = "attempt",
             request = self.call.id.to_str().unwrap_or_default(),
--- a/crates/ebonylug-direct/src/lib.rs
+++ b/crates/ebonylug-direct/src/lib.rs
@@ -26,6 +26,7 @@
 mod events;
 pub mod follow;
 mod forward;
+mod instruments;
 pub mod peers;
 mod pool;
 mod request;
--- a/crates/ebonylug-direct/src/server.rs
+++ b/crates/ebonylug-direct/src/server.rs
@@ -19,6 +19,8 @@
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
+/// Pause after a failed accept, for example because too many files are open.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time that a connection may be idle; longer than any that callers are allowed.
 const IDLE: Duration = Duration::from_secs(90);
 /// Bytes of a request's head; the configuration's bound is lower.
@@ -59,7 +61,7 @@
             }
             Err(error) => {
                 tracing::warn!(part = "server", %error, "cannot accept a connection");
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
@@ -93,20 +95,50 @@
 
 /// Answers the balancer.
 pub async fn serve_ready(entry: Rc<Entry>, listener: TcpListener) {
+    serve_with(listener, move |request| ready(Rc::clone(&entry), request)).await;
+}
+
+/// Answers whoever collects metrics. `dropped` returns the number of log lines that were dropped.
+pub async fn serve_metrics(
+    entry: Rc<Entry>,
+    listener: TcpListener,
+    dropped: impl Fn() -> usize + 'static,
+) {
+    let dropped = Rc::new(dropped);
+    let serve = move |request: Request<Incoming>| {
+        let (entry, dropped) = (Rc::clone(&entry), Rc::clone(&dropped));
+        async move {
+            Ok(match request.uri().path() {
+                "/metrics" => answer::text(entry.metrics(dropped())),
+                _ => answer::own(StatusCode::NOT_FOUND, "no such page"),
+            })
+        }
+    };
+    serve_with(listener, serve).await;
+}
+
+async fn serve_with<F, Fut>(listener: TcpListener, handle: F)
+where
+    F: Fn(Request<Incoming>) -> Fut + Clone + 'static,
+    Fut: Future<Output = Served> + 'static,
+{
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(part = "server", %error, "cannot accept a connection");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
-        let entry = Rc::clone(&entry);
+        let handle = handle.clone();
         tokio::task::spawn_local(async move {
-            let service = service_fn(move |request| ready(Rc::clone(&entry), request));
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(IDLE)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(stream), service_fn(handle));
             if let Err(error) = connection.await {
-                tracing::debug!(part = "server", %error, "connection of the balancer ended");
+                tracing::debug!(part = "server", %error, "connection ended");
             }
         });
     }
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -162,6 +162,9 @@
                 "stream broke"
             );
             if !self.resume().await {
+                let kind = Some(self.job.call.route.kind);
+                let instruments = &self.job.entry.instruments;
+                instruments.ended(kind, "broken_off", "");
                 return Some(Err(std::io::Error::other(String::from(error))));
             }
         }
@@ -203,6 +206,8 @@
 
     fn end(&mut self, opened: Opened) {
         self.tell(&opened);
+        let kind = Some(self.job.call.route.kind);
+        self.job.entry.instruments.ended(kind, "served", "");
         opened.grant.note(Outcome::Answered);
         if self.events.count > 1 {
             let time = self.events.begun.elapsed().as_secs_f64();
--- a/crates/ebonylug-direct/tests/follow.rs
+++ b/crates/ebonylug-direct/tests/follow.rs
@@ -76,6 +76,7 @@
         pace,
         clock: Arc::new(ManualClock::new()),
         uptime: Box::new(Paused(tokio::time::Instant::now())),
+        count: Box::new(|_| ()),
     };
     let tell = |news: Told, _| {
         let (kind, rows) = match news {
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -74,6 +74,7 @@
 struct Peer {
     boot: u64,
     sequence: u64,
+    config: u64,
     heard: Instant,
     /// The least difference between the time of receipt and the time of sending, in milliseconds.
     offset: i64,
@@ -146,6 +147,7 @@
             offset,
             boot: gossip.boot,
             sequence: gossip.sequence,
+            config: gossip.config,
             heard: now,
             used,
             running: gossip.running,
@@ -171,6 +173,13 @@
         }
     }
 
+    /// Returns the highest version of a configuration that another entry has.
+    #[must_use]
+    pub fn newest_config(&self) -> u64 {
+        let versions = self.peers.values().map(|peer| peer.config);
+        versions.max().unwrap_or(0)
+    }
+
     /// Returns what all other entries say of each target, by hash of its name.
     #[must_use]
     pub fn running(&self, now: Instant) -> HashMap<u32, Others> {
--- a/crates/ebonylug-dispatch/src/health.rs
+++ b/crates/ebonylug-dispatch/src/health.rs
@@ -15,6 +15,26 @@
     Withdrawn,
 }
 
+/// What an outcome changes about a target's health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The target gets nothing for a while, and then trials.
+    Rests,
+    /// The target answers again.
+    Returns,
+}
+
+impl Change {
+    /// Returns the name in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Change::Rests => "rests",
+            Change::Returns => "returns",
+        }
+    }
+}
+
 /// Weight of a new outcome in the failure rate.
 const WEIGHT: f64 = 0.12;
 /// A target with a higher failure rate gets requests only as trials. Some services fail one request
@@ -36,16 +56,15 @@
 }
 
 impl Health {
-    /// Notes an outcome. Returns whether the target came back after breaks.
-    pub(crate) fn note(&mut self, now: Instant, outcome: Outcome) -> bool {
+    /// Notes an outcome.
+    pub(crate) fn note(&mut self, now: Instant, outcome: Outcome) -> Option<Change> {
+        let before = self.on_trial();
         match outcome {
-            Outcome::Withdrawn | Outcome::Refused => false,
+            Outcome::Withdrawn | Outcome::Refused => {}
             Outcome::Answered => {
-                let back = self.breaks >= BREAKS;
                 self.rate -= self.rate * WEIGHT;
                 self.breaks = 0;
                 self.rest = None;
-                back
             }
             Outcome::Failed => {
                 self.rate += (1.0 - self.rate) * WEIGHT;
@@ -53,18 +72,21 @@
                 if self.rate > MAX_FAILURES {
                     self.rest = Some(now + REST);
                 }
-                false
             }
             Outcome::Broken => {
                 self.rate += (1.0 - self.rate) * WEIGHT;
                 self.breaks += 1;
-                if self.breaks >= BREAKS || self.rate > MAX_FAILURES {
+                if self.on_trial() {
                     let doubled = REST * (1 << (self.breaks.min(6) - 1));
                     self.rest = Some(now + doubled.min(MAX_REST));
                 }
-                false
             }
         }
+        match (before, self.on_trial()) {
+            (false, true) => Some(Change::Rests),
+            (true, false) => Some(Change::Returns),
+            _ => None,
+        }
     }
 
     /// Reports whether the target rests.
--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -38,7 +38,7 @@
 pub use freshness::Freshness;
 pub use gossip::{Gossip, Peers, Running};
 pub use hash::hash_of;
-pub use health::Outcome;
+pub use health::{Change, Outcome};
 pub use quota::{Quotas, Standing};
 pub use refusal::{Reason, Refusal};
 pub use scheduler::{Ask, Asked, Decision, Scheduler, Settings};
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -8,7 +8,7 @@
 use crate::cold::ColdRate;
 use crate::gossip::{PACE_UNIT, Running};
 use crate::hash::{hash_of, mix, short};
-use crate::health::{Health, Outcome};
+use crate::health::{Change, Health, Outcome};
 use crate::refusal::{Reason, Refusal};
 use crate::target::{Known, Others, Target, TargetKey, TargetState};
 use crate::waiting::{WaitKey, Waiting};
@@ -356,19 +356,38 @@
     }
 
     /// Notes the end of a request at a target. `pace` is its time for each unit of work, in seconds.
-    pub fn ended(&mut self, now: Instant, key: TargetKey, outcome: Outcome, pace: Option<f64>) {
-        let Some(known) = self.targets.get_mut(key) else {
-            return;
-        };
+    /// Returns what that changes about the target's health.
+    pub fn ended(
+        &mut self,
+        now: Instant,
+        key: TargetKey,
+        outcome: Outcome,
+        pace: Option<f64>,
+    ) -> Option<Change> {
+        let known = self.targets.get_mut(key)?;
         known.own = known.own.saturating_sub(1);
         self.changes += 1;
         if let Some(pace) = pace {
             known.learn(now, pace);
         }
+        let change = known.health.note(now, outcome);
         // A target that comes back after an outage may have started anew, and then it is cold.
-        if known.health.note(now, outcome) {
+        if change == Some(Change::Returns) {
             self.chill(now, key, None);
         }
+        change
+    }
+
+    /// Returns what is listed about the target of a name.
+    #[must_use]
+    pub fn find(&self, name: &Name) -> Option<&Target> {
+        self.target(*self.names.get(name)?)
+    }
+
+    /// Returns the availability zones that get nothing.
+    #[must_use]
+    pub fn evacuated(&self) -> &HashSet<Name> {
+        &self.evacuated
     }
 
     fn sent(&mut self, now: Instant, key: TargetKey, prompt: u32) {
--- a/crates/ebonylug-dispatch/src/target.rs
+++ b/crates/ebonylug-dispatch/src/target.rs
@@ -43,6 +43,18 @@
     pub born: u64,
 }
 
+impl Target {
+    /// Reports whether nothing but the time that it stays cold has changed.
+    #[must_use]
+    pub fn is_same(&self, other: &Target) -> bool {
+        let cold = other.cold;
+        Target {
+            cold,
+            ..self.clone()
+        } == *other
+    }
+}
+
 /// Weight of a new sample in the average pace.
 const PACE_WEIGHT: f64 = 0.3;
 /// Age at which a measured pace is not used any more: a target's load has changed since.
--- a/crates/ebonylug-dispatch/tests/limits.rs
+++ b/crates/ebonylug-dispatch/tests/limits.rs
@@ -252,3 +252,14 @@
     peers.hear(later, Duration::from_secs(6), leaving);
     assert_eq!(peers.standing(later), Standing { heard: 1, known: 1 });
 }
+
+/// Guards against an entry that does not notice that its own read of the configuration is dead: another
+/// entry has a newer version.
+#[test]
+fn a_newer_configuration_elsewhere_is_noticed() {
+    let now = Instant::now();
+    let mut peers = Peers::default();
+    assert_eq!(peers.newest_config(), 0);
+    peers.hear(now, Duration::from_secs(1), message(1, 0, 0));
+    assert_eq!(peers.newest_config(), 7);
+}
--- a/crates/ebonylug-entry/src/main.rs
+++ b/crates/ebonylug-entry/src/main.rs
@@ -28,7 +28,7 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let arguments = arguments().run();
-    logs::start(arguments.log_format);
+    let _log = logs::start(arguments.log_format);
     match run(&arguments).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
