--- a/crates/ebonylug-direct/src/attempt.rs
+++ b/crates/ebonylug-direct/src/attempt.rs
@@ -128,7 +128,7 @@
 
 impl Opened {
     /// Reads the whole body of an answer that is not a stream.
-    pub(crate) async fn whole(self, entry: &Entry, limit: Instant) -> Result<(Parts, Bytes)> {
+    pub(crate) async fn whole(self, entry: &Entry, call: &Call) -> Result<(Parts, Bytes)> {
         let Opened {
             head,
             body,
@@ -136,8 +136,9 @@
             grant,
             sent,
         } = self;
-        match tokio::time::timeout_at(limit, collect(body)).await {
+        match tokio::time::timeout_at(call.limit, collect(body)).await {
             Ok(Ok(bytes)) => {
+                grant.set_slow(sent.elapsed() > call.route.aim);
                 let failed = head.status.is_server_error();
                 grant.note(if failed {
                     Outcome::Failed
--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -4,17 +4,19 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use ebonylug_core::{Clock, Name};
+use ebonylug_core::{Clock, Incarnation, Name};
 use ebonylug_dispatch::{
     Ask, Asked, Config, Decision, Freshness, Gossip, Outcome, Peers, Quotas, Reason, Refusal,
-    RetryBudget, Scheduler, Target, TargetKey, WaitKey,
+    RetryBudget, Scheduler, Target, TargetKey, Versions, WaitKey,
 };
+use ebonylug_moves::Sample;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::oneshot;
 
 use crate::dialect::Dialect;
 use crate::instruments::{Instruments, Levels};
+use crate::moves::{Moves, Order, Report};
 use crate::pool::Pool;
 use crate::uptime::Uptime;
 
@@ -61,6 +63,21 @@
     rng: ChaCha8Rng,
     sequence: u64,
     targets_known: bool,
+    moves: Moves,
+}
+
+impl State {
+    /// Sets the versions that may serve a request. If no target of a version in a move can, others may.
+    fn with_versions(&mut self, mut ask: Ask) -> Ask {
+        let again = !ask.tried.is_empty();
+        ask.versions = self.moves.choose(&ask.service, again);
+        if !self.scheduler.has_target(&ask)
+            && let Versions::Only(version) = ask.versions
+        {
+            ask.versions = Versions::Except(version);
+        }
+        ask
+    }
 }
 
 impl Entry {
@@ -88,6 +105,7 @@
             rng,
             sequence: 0,
             targets_known: false,
+            moves: Moves::new(Incarnation(boot)),
         };
         Rc::new(Entry {
             settings,
@@ -218,9 +236,27 @@
         state.scheduler.set_evacuated(now, zones);
     }
 
-    /// Sets the versions that get nothing, by service.
-    pub fn set_barred(&self, versions: HashMap<Name, Box<str>>) {
-        self.state.borrow_mut().scheduler.set_barred(versions);
+    /// Sets the time that all entries agree on, at an uptime of this machine.
+    pub fn agree(&self, uptime: Duration, agreed: Duration) {
+        self.state.borrow_mut().moves.agree(uptime, agreed);
+    }
+
+    /// Takes over the moves that operators have ordered.
+    pub fn set_orders(&self, orders: &[Order]) {
+        let now = self.uptime.uptime();
+        self.state.borrow_mut().moves.set_orders(now, orders);
+    }
+
+    /// Decides about moves, and returns stages that the platform must be told.
+    #[must_use]
+    pub fn tick_moves(&self) -> Vec<Report> {
+        let now = self.uptime.uptime();
+        self.state.borrow_mut().moves.tick(now)
+    }
+
+    /// Takes over a stage of a move that the platform knows.
+    pub fn observe_move(&self, report: &Report) {
+        self.state.borrow_mut().moves.observe(report);
     }
 
     /// Draws a random number.
@@ -281,7 +317,11 @@
     pub(crate) async fn grant(self: &Rc<Self>, ask: Ask) -> Result<Grant, Refusal> {
         let now = self.clock.now();
         let prompt = ask.prompt;
-        let asked = self.state.borrow_mut().scheduler.ask(now, ask);
+        let asked = {
+            let mut state = self.state.borrow_mut();
+            let ask = state.with_versions(ask);
+            state.scheduler.ask(now, ask)
+        };
         let key = match asked {
             Asked::Send(target) => return Ok(Grant::new(self, target, prompt)),
             Asked::Refuse(refusal) => return Err(refusal),
@@ -370,6 +410,7 @@
         let mut state = self.state.borrow_mut();
         state.sequence += 1;
         let running = state.scheduler.own(self.clock.now()).collect();
+        let (moves, evidence) = state.moves.news(self.uptime.uptime());
         Gossip {
             entry: self.settings.name.as_str().into(),
             zone: self.settings.zone.as_str().into(),
@@ -381,6 +422,8 @@
             leaving: self.stopping.get(),
             used: state.quotas.used().collect(),
             running,
+            moves,
+            evidence,
         }
     }
 
@@ -388,6 +431,7 @@
     pub(crate) fn hear(self: &Rc<Self>, gossip: Gossip) -> bool {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
+        state.moves.hear(&gossip.moves, &gossip.evidence);
         let Some(news) = state.peers.hear(now, self.uptime.uptime(), gossip) else {
             return false;
         };
@@ -488,6 +532,8 @@
     prompt: Cell<u32>,
     outcome: Cell<Outcome>,
     pace: Cell<Option<f64>>,
+    /// Whether the answer began later than its route aims for.
+    slow: Cell<bool>,
 }
 
 impl Grant {
@@ -498,6 +544,7 @@
             target,
             outcome: Cell::new(Outcome::Withdrawn),
             pace: Cell::new(None),
+            slow: Cell::new(false),
         }
     }
 
@@ -519,6 +566,11 @@
         self.outcome.set(outcome);
     }
 
+    /// Notes that the answer began later than its route aims for.
+    pub(crate) fn set_slow(&self, slow: bool) {
+        self.slow.set(slow);
+    }
+
     /// Sets the time for each unit of work, in seconds.
     pub(crate) fn set_pace(&self, pace: f64) {
         self.pace.set(Some(pace));
@@ -531,6 +583,17 @@
         let mut state = self.entry.state.borrow_mut();
         let (outcome, pace) = (self.outcome.get(), self.pace.get());
         state.scheduler.read(self.target, self.prompt.get());
+        let sample = match outcome {
+            Outcome::Answered => Some(Sample::answered().slow(self.slow.get())),
+            Outcome::Failed | Outcome::Broken => Some(Sample::failed()),
+            Outcome::Refused | Outcome::Withdrawn => None,
+        };
+        let target = state.scheduler.target(self.target);
+        if let (Some(sample), Some(target)) = (sample, target) {
+            let (service, version) = (target.service.clone(), target.version.clone());
+            let uptime = self.entry.uptime.uptime();
+            state.moves.record(uptime, &service, &version, sample);
+        }
         let change = state.scheduler.ended(now, self.target, outcome, pace);
         if let Some(change) = change
             && let Some(target) = state.scheduler.target(self.target)
--- a/crates/ebonylug-direct/src/follow.rs
+++ b/crates/ebonylug-direct/src/follow.rs
@@ -53,6 +53,15 @@
     fn changes(&self, after: u64, wait: Duration) -> impl Future<Output = Result<Rows>>;
 }
 
+/// When an answer was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Made {
+    /// By the uptime of this machine.
+    pub uptime: Duration,
+    /// By the store's own clock.
+    pub store: Duration,
+}
+
 /// How long reads of changes wait.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
@@ -125,13 +134,13 @@
 }
 
 impl<F: Feed> Follower<F> {
-    /// Follows the table for ever. `tell` gets rows, with the uptime for which they are current;
+    /// Follows the table for ever. `tell` gets rows, with the time for which they are current;
     /// `age` returns the age of what is known from here or elsewhere.
     pub async fn run(
         self,
         seed: u64,
         age: impl Fn() -> Option<Duration>,
-        mut tell: impl FnMut(Told, Duration),
+        mut tell: impl FnMut(Told, Made),
     ) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut store = StoreClock::default();
@@ -171,6 +180,10 @@
                     failures = 0;
                     version = Some(rows.version.max(version.unwrap_or(0)));
                     let made = store.note(rows.clock, self.uptime.uptime());
+                    let made = Made {
+                        uptime: made,
+                        store: rows.clock,
+                    };
                     tell(told(rows.rows), made);
                     tokio::time::sleep(self.pace.pause).await;
                 }
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use ebonylug_core::Name;
-use ebonylug_dispatch::{Ask, Kind, Reason, Refusal, TargetKey};
+use ebonylug_dispatch::{Ask, Kind, Reason, Refusal, TargetKey, Versions};
 use futures_util::stream;
 use http::{Request, Response, StatusCode};
 use http_body_util::{Either, Full};
@@ -272,6 +272,7 @@
             patience: patience.min(left),
             after: (left / 4).clamp(MIN_RETURN, MAX_RETURN),
             model: self.model,
+            versions: Versions::All,
             prompt: if self.model {
                 self.call.prompt(&self.entry.dialect)
             } else {
@@ -327,7 +328,7 @@
             let events = EventStream::first(&mut opened, self.call.limit).await?;
             return Ok(Begun::Stream(Box::new(opened), events));
         }
-        let (head, body) = opened.whole(&self.entry, self.call.limit).await?;
+        let (head, body) = opened.whole(&self.entry, &self.call).await?;
         Ok(Begun::Whole(head, body))
     }
 
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -209,6 +209,8 @@
         let kind = Some(self.job.call.route.kind);
         self.job.entry.instruments.ended(kind, "served", "");
         opened.grant.note(Outcome::Answered);
+        let first = self.events.begun.duration_since(opened.sent);
+        opened.grant.set_slow(first > self.job.call.route.aim);
         if self.events.count > 1 {
             let time = self.events.begun.elapsed().as_secs_f64();
             opened
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -2,10 +2,12 @@
 use std::time::{Duration, Instant};
 
 use ebonylug_core::Name;
+use ebonylug_moves::Evidence;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::quota::Standing;
+use crate::rollout::Stage;
 use crate::target::Others;
 
 /// An entry that was not heard for this long is left out of the load of targets and counts as
@@ -32,7 +34,7 @@
 
 /// What an entry tells the others, several times per second. Each message states totals, so that a
 /// lost one does no harm.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Gossip {
     /// The name of the entry.
     pub entry: Box<str>,
@@ -56,6 +58,21 @@
     pub used: Vec<(u32, u64)>,
     /// Its requests at targets.
     pub running: Vec<Running>,
+    /// The moves in force.
+    pub moves: Vec<MoveNews>,
+    /// Its own recent evidence about versions in a move.
+    pub evidence: Evidence,
+}
+
+/// How far a move is at one entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MoveNews {
+    /// The service.
+    pub service: Box<str>,
+    /// The new version.
+    pub version: Box<str>,
+    /// How far the move is.
+    pub stage: Stage,
 }
 
 /// What an accepted message changes.
--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`RetryBudget`]: the share of repeated sends that one entry may use.
 //! - [`Freshness`]: whether the configuration is recent enough to trust its keys.
 //! - [`Peers`]: what the other entries have told.
+//! - [`Rollout`]: a move of a service to another version.
 //!
 //! # Sums over all entries
 //!
@@ -29,6 +30,7 @@
 mod health;
 mod quota;
 mod refusal;
+mod rollout;
 mod scheduler;
 mod target;
 mod waiting;
@@ -36,11 +38,12 @@
 pub use budget::RetryBudget;
 pub use config::{Config, Draft, Kind, Limits, Organisation, Quota, Route, Service};
 pub use freshness::Freshness;
-pub use gossip::{Gossip, Peers, Running};
+pub use gossip::{Gossip, MoveNews, Peers, Running};
 pub use hash::hash_of;
 pub use health::{Change, Outcome};
 pub use quota::{Quotas, Standing};
 pub use refusal::{Reason, Refusal};
+pub use rollout::{Rollout, Stage, Versions};
 pub use scheduler::{Ask, Asked, Decision, Scheduler, Settings};
 pub use target::{Others, Target, TargetKey, TargetState};
 pub use waiting::WaitKey;
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::hash::{hash_of, mix, short};
 use crate::health::{Change, Health, Outcome};
 use crate::refusal::{Reason, Refusal};
+use crate::rollout::Versions;
 use crate::target::{Known, Others, Target, TargetKey, TargetState};
 use crate::waiting::{WaitKey, Waiting};
 
@@ -74,6 +75,8 @@
     pub model: bool,
     /// Tokens of the prompt.
     pub prompt: u32,
+    /// The versions that may serve it.
+    pub versions: Versions,
 }
 
 /// The immediate answer to an [`Ask`].
@@ -106,8 +109,6 @@
     services: HashMap<Name, Vec<TargetKey>>,
     cold_rates: HashMap<Name, (f64, Duration)>,
     evacuated: HashSet<Name>,
-    /// Versions that must get no requests, by service.
-    barred: HashMap<Name, Box<str>>,
     waiting: Waiting,
     entries: usize,
     draws: u64,
@@ -126,7 +127,6 @@
             services: HashMap::new(),
             cold_rates: HashMap::new(),
             evacuated: HashSet::new(),
-            barred: HashMap::new(),
             waiting: Waiting::default(),
             entries: 1,
             draws: seed,
@@ -161,11 +161,6 @@
         }
     }
 
-    /// Sets the versions that get nothing, by service.
-    pub fn set_barred(&mut self, barred: HashMap<Name, Box<str>>) {
-        self.barred = barred;
-    }
-
     /// Adds a target, or takes over what has changed about it.
     pub fn put_target(&mut self, now: Instant, info: Target) -> TargetKey {
         let cold = info.cold;
@@ -274,9 +269,7 @@
 
     /// Asks for a target.
     pub fn ask(&mut self, now: Instant, ask: Ask) -> Asked {
-        let usable = |key: &TargetKey| self.is_usable(&self.targets[*key], &ask);
-        let keys = self.services.get(&ask.service);
-        if !keys.is_some_and(|keys| keys.iter().any(usable)) {
+        if !self.has_target(&ask) {
             return Asked::Refuse(self.refusal(Reason::NoTarget, Duration::from_millis(400)));
         }
         if self.waiting.ahead(ask.service.as_str(), ask.rank) == 0
@@ -292,6 +285,14 @@
         Asked::Wait(self.waiting.insert(ask, until))
     }
 
+    /// Reports whether there is a target that may serve a request, now or later.
+    #[must_use]
+    pub fn has_target(&self, ask: &Ask) -> bool {
+        let usable = |key: &TargetKey| self.is_usable(&self.targets[*key], ask);
+        let keys = self.services.get(&ask.service);
+        keys.is_some_and(|keys| keys.iter().any(usable))
+    }
+
     /// Withdraws a request that waits.
     pub fn withdraw(&mut self, key: WaitKey) {
         self.waiting.remove(key);
@@ -402,10 +403,9 @@
     }
 
     fn is_usable(&self, known: &Known, ask: &Ask) -> bool {
-        let barred = self.barred.get(&known.info.service);
         known.info.state == TargetState::Serving
             && !self.evacuated.contains(&known.info.zone)
-            && barred.is_none_or(|version| *version != known.info.version)
+            && ask.versions.allow(&known.info.version)
             && known.info.service == ask.service
     }
 
--- /dev/null
+++ b/crates/ebonylug-dispatch/tests/rollout.rs
@@ -0,0 +1,178 @@
+//! Moves of a service to another version, at several entries.
+
+use std::time::{Duration, SystemTime};
+
+use ebonylug_core::{Incarnation, Name};
+use ebonylug_dispatch::{Rollout, Stage, Versions};
+use ebonylug_moves::{Evidence, Sample};
+
+const LENGTH: Duration = Duration::from_secs(12);
+const STEP: Duration = Duration::from_millis(20);
+const ENTRIES: u64 = 4;
+
+/// What the new version does: whether an answer at this part of the window, with this draw from 0 to 99,
+/// is good.
+type Behaviour = fn(progress: f64, draw: u64) -> Sample;
+
+struct Played {
+    stage: Stage,
+    all: u64,
+    new: u64,
+    /// Requests that reached the new version later than 5 s after its 50th bad answer.
+    late: u64,
+    ended: f64,
+}
+
+/// Plays a move with 130 requests a second; entries tell each other each 100 ms, or never.
+fn play(behaviour: Behaviour, together: bool) -> Played {
+    let start = SystemTime::UNIX_EPOCH + Duration::from_secs(100);
+    let mut entries: Vec<(Rollout, Evidence)> = (1..=ENTRIES)
+        .map(|process| {
+            let service = Name::new("pool");
+            let rollout = Rollout::new(service, "v2", start, LENGTH, Incarnation(process));
+            (rollout, Evidence::default())
+        })
+        .collect();
+    let (mut all, mut new, mut bad, mut late) = (0, 0, 0, 0);
+    let (mut fiftieth, mut ended) = (None, f64::INFINITY);
+    let mut draw = 7_u64;
+    let steps = LENGTH.as_millis() / STEP.as_millis();
+    for step in 0..u32::try_from(steps).expect("few steps") {
+        let now = start + STEP * step;
+        let progress = f64::from(step) / steps as f64;
+        for request in 0..3 {
+            draw = draw
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1_442_695_040_888_963_407);
+            let roll = (draw >> 33) % 100;
+            let (rollout, evidence) = &mut entries[(step as usize + request) % ENTRIES as usize];
+            all += 1;
+            match rollout.choose(false) {
+                Versions::Only(_) => {
+                    new += 1;
+                    if fiftieth.is_some_and(|time| now > time + Duration::from_secs(5)) {
+                        late += 1;
+                    }
+                    let sample = behaviour(progress, roll);
+                    if !sample.answered || sample.slow {
+                        bad += 1;
+                        if bad == 50 {
+                            fiftieth = Some(now);
+                        }
+                    }
+                    rollout.record(now, evidence, "v2", sample);
+                }
+                Versions::All | Versions::Except(_) => {
+                    let good = roll >= 2;
+                    let sample = if good {
+                        Sample::answered()
+                    } else {
+                        Sample::failed()
+                    };
+                    rollout.record(now, evidence, "v1", sample);
+                }
+            }
+        }
+        if together && step % 5 == 0 {
+            let told: Vec<(Stage, Evidence)> = entries
+                .iter()
+                .map(|(rollout, evidence)| (rollout.stage(), evidence.clone()))
+                .collect();
+            for (rollout, evidence) in &mut entries {
+                for (stage, theirs) in &told {
+                    rollout.observe(*stage);
+                    evidence.merge(theirs);
+                }
+            }
+        }
+        for (rollout, evidence) in &mut entries {
+            if rollout.tick(now, evidence).is_some_and(Stage::is_final) {
+                ended = f64::min(ended, progress);
+            }
+        }
+    }
+    Played {
+        stage: entries[0].0.stage(),
+        all,
+        new,
+        late,
+        ended,
+    }
+}
+
+fn good(_: f64, draw: u64) -> Sample {
+    if draw >= 2 {
+        Sample::answered()
+    } else {
+        Sample::failed()
+    }
+}
+
+/// Guards against a good version that is not in force by its time limit.
+#[test]
+fn a_good_version_is_completed_in_time() {
+    let played = play(good, true);
+    assert_eq!(played.stage, Stage::Completed);
+    assert!(played.ended < 1.0, "ended at {}", played.ended);
+}
+
+/// Guards against a bad version that gets more than a tenth of the requests, or any long after it was
+/// seen to be bad: bad at once, in part, slow, and late in the window.
+#[test]
+fn a_bad_version_gets_little_and_is_rolled_back() {
+    let cases: [(&str, Behaviour); 4] = [
+        ("at once", |_, _| Sample::failed()),
+        ("a third fails", |_, draw| {
+            if draw < 33 {
+                Sample::failed()
+            } else {
+                Sample::answered()
+            }
+        }),
+        ("slow", |_, draw| Sample::answered().slow(draw < 60)),
+        ("late", |progress, draw| {
+            if progress > 0.5 && draw < 50 {
+                Sample::failed()
+            } else {
+                Sample::answered()
+            }
+        }),
+    ];
+    for (name, behaviour) in cases {
+        for together in [true, false] {
+            let played = play(behaviour, together);
+            assert!(
+                played.new as f64 <= 0.1 * played.all as f64 + 50.0,
+                "{name}: {}",
+                played.new
+            );
+            assert_eq!(played.late, 0, "{name}");
+            assert_ne!(played.stage, Stage::Completed, "{name}");
+            if together {
+                assert_eq!(played.stage, Stage::RolledBack, "{name}");
+            }
+        }
+    }
+}
+
+/// Guards against a move that goes on after another entry has ended it.
+#[test]
+fn a_stage_never_goes_back() {
+    let start = SystemTime::UNIX_EPOCH;
+    let mut rollout = Rollout::new("pool".into(), "v2", start, LENGTH, Incarnation(1));
+    rollout.observe(Stage::RolledBack);
+    rollout.observe(Stage::Completed);
+    rollout.observe(Stage::Trial);
+    assert_eq!(rollout.stage(), Stage::RolledBack);
+    assert_eq!(rollout.choose(false), Versions::Except("v2".into()));
+}
+
+/// Guards against a request that is sent again to a version on trial.
+#[test]
+fn a_repeated_request_avoids_the_new_version() {
+    let start = SystemTime::UNIX_EPOCH;
+    let mut rollout = Rollout::new("pool".into(), "v2", start, LENGTH, Incarnation(1));
+    for _ in 0..200 {
+        assert_eq!(rollout.choose(true), Versions::Except("v2".into()));
+    }
+}
--- a/crates/ebonylug-dispatch/tests/scheduler.rs
+++ b/crates/ebonylug-dispatch/tests/scheduler.rs
@@ -6,7 +6,7 @@
 use ebonylug_core::Name;
 use ebonylug_dispatch::{
     Ask, Asked, Decision, Others, Outcome, Reason, Scheduler, Settings, Target, TargetKey,
-    TargetState, hash_of,
+    TargetState, Versions, hash_of,
 };
 use smallvec::SmallVec;
 
@@ -40,6 +40,7 @@
         after: Duration::from_secs(1),
         model: true,
         prompt: 500,
+        versions: Versions::All,
     }
 }
 
@@ -127,8 +128,8 @@
         ("zone taken out", |scheduler, now, _, _| {
             scheduler.set_evacuated(now, HashSet::from([Name::new("zone-0")]));
         }),
-        ("version barred", |scheduler, _, _, _| {
-            scheduler.set_barred(HashMap::from([(Name::new("pool"), "v1".into())]));
+        ("version barred", |_, _, ask, _| {
+            ask.versions = Versions::Except("v1".into());
         }),
         ("tried", |_, _, ask, key| ask.tried.push(key)),
     ];
