Leave targets that another entry cannot reach, and try more targets that refuse connections

Change: a refused connection rests a target at once; entries tell which targets they rest, which others follow unless they were answered within half a second; up to 8 unreachable targets are tried. Test: a_target_that_one_entry_cannot_reach_is_left_by_all.

--- a/crates/ebonylug-direct/src/attempt.rs
+++ b/crates/ebonylug-direct/src/attempt.rs
@@ -57,7 +57,7 @@
     let mut lease = match leased {
         Ok(Ok(lease)) => lease,
         Ok(Err(error)) => {
-            grant.note(Outcome::Broken);
+            grant.note(Outcome::Unreachable);
             return Err(Failure::Unsent(error.to_string().into()));
         }
         Err(_) => return Err(Failure::Unsent("no connection in time".into())),
--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -585,7 +585,7 @@
         state.scheduler.read(self.target, self.prompt.get());
         let sample = match outcome {
             Outcome::Answered => Some(Sample::answered().slow(self.slow.get())),
-            Outcome::Failed | Outcome::Broken => Some(Sample::failed()),
+            Outcome::Failed | Outcome::Broken | Outcome::Unreachable => Some(Sample::failed()),
             Outcome::Refused | Outcome::Withdrawn => None,
         };
         let target = state.scheduler.target(self.target);
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -20,8 +20,11 @@
 use crate::request::{self, Call};
 use crate::stream::EventStream;
 
-/// Sends after proof that a request did not run, beside the attempts that the route allows.
+/// Targets that may state that they did not run a request until it is refused.
 const MAX_UNRUN: u32 = 3;
+/// Targets that may be out of reach until a request is refused. Each costs a millisecond if it refuses
+/// connections.
+const MAX_UNSENT: u32 = 8;
 /// Time that must be left for a send to make sense.
 const MIN_LEFT: Duration = Duration::from_millis(30);
 
@@ -358,7 +361,7 @@
         let again = match failure {
             Failure::Late => false,
             Failure::Unknown(_) => self.call.route.kind.is_idempotent() && self.may_repeat(),
-            Failure::Unsent(_) => self.unrun < MAX_UNRUN && self.has_time(),
+            Failure::Unsent(_) => self.unrun < MAX_UNSENT && self.has_time(),
             Failure::NotRun(_) => self.unrun < MAX_UNRUN && self.may_repeat(),
         };
         if again {
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -30,6 +30,8 @@
     pub prefill: u32,
     /// The mean time for a unit of work that the entry measured, in tenths of a millisecond; 0 if none.
     pub pace: u16,
+    /// Whether the entry gives the target nothing but trials, after breaks.
+    pub resting: bool,
 }
 
 /// What an entry tells the others, several times per second. Each message states totals, so that a
@@ -206,6 +208,7 @@
                 let sum = sums.entry(running.target).or_default();
                 sum.requests += u32::from(running.requests);
                 sum.prefill = sum.prefill.saturating_add(running.prefill);
+                sum.resting += u32::from(running.resting);
                 if running.pace > 0 {
                     sum.pace += f64::from(running.pace) * PACE_UNIT;
                     sum.paces += 1;
--- a/crates/ebonylug-dispatch/src/health.rs
+++ b/crates/ebonylug-dispatch/src/health.rs
@@ -9,7 +9,9 @@
     Failed,
     /// The target refused and did not run the request.
     Refused,
-    /// No connection, a broken one, bytes that are no answer, or silence.
+    /// No connection could be made.
+    Unreachable,
+    /// A broken connection, bytes that are no answer, or silence.
     Broken,
     /// Nothing is known: the caller left, or the entry gave up for reasons of its own.
     Withdrawn,
@@ -44,6 +46,8 @@
 const BREAKS: u32 = 2;
 /// The first rest, doubled with each further break.
 const REST: Duration = Duration::from_millis(250);
+/// Time for which an answer outweighs what other entries say of a target: their paths to it may be cut.
+const RECENT: Duration = Duration::from_millis(500);
 /// The longest rest.
 const MAX_REST: Duration = Duration::from_secs(2);
 
@@ -53,6 +57,8 @@
     rate: f64,
     breaks: u32,
     rest: Option<Instant>,
+    /// The last whole answer.
+    answered: Option<Instant>,
 }
 
 impl Health {
@@ -62,6 +68,7 @@
         match outcome {
             Outcome::Withdrawn | Outcome::Refused => {}
             Outcome::Answered => {
+                self.answered = Some(now);
                 self.rate -= self.rate * WEIGHT;
                 self.breaks = 0;
                 self.rest = None;
@@ -73,9 +80,13 @@
                     self.rest = Some(now + REST);
                 }
             }
-            Outcome::Broken => {
+            Outcome::Broken | Outcome::Unreachable => {
                 self.rate += (1.0 - self.rate) * WEIGHT;
                 self.breaks += 1;
+                // A target that takes no connection needs no second sign.
+                if outcome == Outcome::Unreachable {
+                    self.breaks = self.breaks.max(BREAKS);
+                }
                 if self.on_trial() {
                     let doubled = REST * (1 << (self.breaks.min(6) - 1));
                     self.rest = Some(now + doubled.min(MAX_REST));
@@ -94,6 +105,12 @@
         self.rest.is_some_and(|rest| now < rest)
     }
 
+    /// Reports whether the target answered a moment ago, which outweighs what other entries say.
+    pub(crate) fn has_answered(&self, now: Instant) -> bool {
+        let recent = |time: Instant| now.saturating_duration_since(time) < RECENT;
+        self.answered.is_some_and(recent)
+    }
+
     /// Reports whether the target gets one request at a time, as a trial.
     pub(crate) fn on_trial(&self) -> bool {
         self.breaks >= BREAKS || self.rate > MAX_FAILURES
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -258,7 +258,9 @@
     pub fn own(&self, now: Instant) -> impl Iterator<Item = Running> {
         self.targets.values().filter_map(move |known| {
             let pace = known.recent_pace(now);
-            (known.own > 0 || pace.is_some()).then(|| Running {
+            let resting = known.health.on_trial();
+            (known.own > 0 || pace.is_some() || resting).then(|| Running {
+                resting,
                 target: short(known.hash),
                 requests: u16::try_from(known.own).unwrap_or(u16::MAX),
                 prefill: known.prefill,
--- a/crates/ebonylug-dispatch/src/target.rs
+++ b/crates/ebonylug-dispatch/src/target.rs
@@ -90,6 +90,8 @@
     pub pace: f64,
     /// How many of them know a pace.
     pub paces: u32,
+    /// How many of them give it nothing but trials, after breaks.
+    pub resting: u32,
 }
 
 impl Known {
@@ -124,7 +126,8 @@
     }
 
     pub(crate) fn is_open(&self, now: Instant) -> bool {
-        let awake = !self.health.rests(now);
+        let own = self.health.on_trial() || self.health.has_answered(now);
+        let awake = !self.health.rests(now) && (own || self.others.resting == 0);
         let alone = !self.health.on_trial() || self.own == 0;
         let warm = self.cold.is_none_or(|cold| cold.is_open(now));
         self.info.state == TargetState::Serving && awake && alone && warm
--- a/crates/ebonylug-dispatch/tests/scheduler.rs
+++ b/crates/ebonylug-dispatch/tests/scheduler.rs
@@ -310,3 +310,45 @@
         }
     }
 }
+
+/// Guards against a crashed target that looks idle and draws the requests of all entries: one entry that
+/// found it out of reach is enough, but not against an entry that has just been answered.
+#[test]
+fn a_target_that_one_entry_cannot_reach_is_left_by_all() {
+    let now = Instant::now();
+    let (mut first, mut second, mut third) = (scheduler(1), scheduler(2), scheduler(3));
+    let crashed = first.put_target(now, target(0));
+    second.put_target(now, target(0));
+    third.put_target(now, target(0));
+    assert_eq!(sent(third.ask(now, ask(0))), Some(crashed));
+    third.ended(now, crashed, Outcome::Answered, None);
+    assert_eq!(sent(first.ask(now, ask(0))), Some(crashed));
+    first.ended(now, crashed, Outcome::Unreachable, None);
+    let told: HashMap<u32, Others> = first
+        .own(now)
+        .map(|running| {
+            let resting = u32::from(running.resting);
+            (
+                running.target,
+                Others {
+                    resting,
+                    ..Others::default()
+                },
+            )
+        })
+        .collect();
+    second.set_others(&told);
+    third.set_others(&told);
+    assert_eq!(sent(second.ask(now, ask(0))), None);
+    assert_eq!(
+        sent(third.ask(now, ask(0))),
+        Some(crashed),
+        "it was answered a moment ago"
+    );
+    let later = now + Duration::from_secs(1);
+    assert_eq!(
+        sent(first.ask(later, ask(0))),
+        Some(crashed),
+        "a trial after the rest"
+    );
+}
