Start quotas with the whole burst, and take over the levels of older entries

Ruled out: the share of unheard entries (all were heard within 100 ms). Change: a new bucket holds the whole burst, of which only the own part may be used until the others are heard; the levels of an entry that runs for longer are taken over.

--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -50,6 +50,7 @@
     pub(crate) active: Cell<usize>,
     state: RefCell<State>,
     boot: u64,
+    started: Instant,
 }
 
 struct State {
@@ -107,7 +108,9 @@
             targets_known: false,
             moves: Moves::new(Incarnation(boot)),
         };
+        let started = clock.now();
         Rc::new(Entry {
+            started,
             settings,
             dialect,
             clock,
@@ -405,6 +408,10 @@
         state.scheduler.is_cold(now, target, time);
     }
 
+    fn age(&self) -> Duration {
+        self.clock.now().saturating_duration_since(self.started)
+    }
+
     /// Makes the next message to the other entries.
     pub(crate) fn gossip(&self) -> Gossip {
         let mut state = self.state.borrow_mut();
@@ -420,7 +427,8 @@
             sent: millis(self.uptime.uptime()),
             confirmed: state.freshness.confirmed().map(millis),
             leaving: self.stopping.get(),
-            used: state.quotas.used().collect(),
+            age: u32::try_from(self.age().as_millis()).unwrap_or(u32::MAX),
+            usage: state.quotas.usage().collect(),
             running,
             moves,
             evidence,
@@ -432,6 +440,8 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         state.moves.hear(&gossip.moves, &gossip.evidence);
+        let age = Duration::from_millis(u64::from(gossip.age));
+        state.quotas.adopt(now, age, &gossip.usage);
         let Some(news) = state.peers.hear(now, self.uptime.uptime(), gossip) else {
             return false;
         };
--- a/crates/ebonylug-direct/src/peers.rs
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -99,7 +99,7 @@
         }
         let mut gossip = self.entry.gossip();
         self.send_to(&gossip, &due.whole).await;
-        gossip.used.clear();
+        gossip.usage.clear();
         self.send_to(&gossip, &due.loads).await;
     }
 
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -55,9 +55,10 @@
     pub confirmed: Option<u64>,
     /// Whether it is about to stop.
     pub leaving: bool,
-    /// Tokens used by each organisation since the boot, by short hash of its name. Organisations may
-    /// be left out.
-    pub used: Vec<(u32, u64)>,
+    /// Milliseconds since the boot.
+    pub age: u32,
+    /// The use of quotas. Organisations may be left out.
+    pub usage: Vec<Usage>,
     /// Its requests at targets.
     pub running: Vec<Running>,
     /// The moves in force.
@@ -66,6 +67,17 @@
     pub evidence: Evidence,
 }
 
+/// The use of one organisation's quota at one entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// The short hash of the organisation's name.
+    pub organisation: u32,
+    /// Tokens used since the boot.
+    pub used: u64,
+    /// Tokens that the entry takes to be left, of all entries together.
+    pub level: i64,
+}
+
 /// How far a move is at one entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MoveNews {
@@ -136,9 +148,10 @@
         match known {
             Some(peer) if peer.sequence >= gossip.sequence => return None,
             Some(peer) => {
-                for &(organisation, total) in &gossip.used {
-                    let before = peer.used.get(&organisation).copied().unwrap_or(0);
-                    news.used.push((organisation, total as f64 - before as f64));
+                for usage in &gossip.usage {
+                    let before = peer.used.get(&usage.organisation).copied().unwrap_or(0);
+                    let used = usage.used as f64 - before as f64;
+                    news.used.push((usage.organisation, used));
                 }
             }
             None => news.joined = true,
@@ -161,7 +174,12 @@
             .remove(&entry)
             .filter(|peer| peer.boot == gossip.boot);
         let mut used = known.map_or_else(HashMap::new, |peer| peer.used);
-        used.extend(gossip.used);
+        used.extend(
+            gossip
+                .usage
+                .iter()
+                .map(|usage| (usage.organisation, usage.used)),
+        );
         let peer = Peer {
             offset,
             boot: gossip.boot,
--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -38,7 +38,7 @@
 pub use budget::RetryBudget;
 pub use config::{Config, Draft, Kind, Limits, Organisation, Quota, Route, Service};
 pub use freshness::Freshness;
-pub use gossip::{Gossip, MoveNews, Peers, Running};
+pub use gossip::{Gossip, MoveNews, Peers, Running, Usage};
 pub use hash::hash_of;
 pub use health::{Change, Outcome};
 pub use quota::{Quotas, Standing};
--- a/crates/ebonylug-dispatch/src/quota.rs
+++ b/crates/ebonylug-dispatch/src/quota.rs
@@ -4,6 +4,7 @@
 use ebonylug_core::Name;
 
 use crate::config::{Config, Quota};
+use crate::gossip::Usage;
 use crate::hash::{hash_of, short};
 
 /// How much of the fleet of entries can be heard.
@@ -36,10 +37,16 @@
     quota: Quota,
     level: f64,
     filled: Instant,
+    made: Instant,
     /// Tokens that this entry has used since its start.
     used: f64,
 }
 
+/// Age up to which a bucket knows little: its entry may not have heard the others yet.
+const YOUNG: Duration = Duration::from_millis(500);
+/// How much older than this entry another one must be for its levels to be taken over.
+const OLDER: Duration = Duration::from_secs(1);
+
 impl Quotas {
     /// Takes over the limits of a configuration. Levels of organisations that stay are kept.
     pub fn update(&mut self, now: Instant, config: &Config, standing: Standing) {
@@ -58,9 +65,11 @@
                 }
                 None => Bucket {
                     quota,
-                    // All entries start together with an equal part of the burst.
-                    level: quota.burst / standing.known.max(1) as f64,
+                    // Entries that hear each other take out what all of them use, so that they use
+                    // one burst together.
+                    level: quota.burst,
                     filled: now,
+                    made: now,
                     used: 0.0,
                 },
             };
@@ -86,9 +95,10 @@
         };
         bucket.fill(now, standing);
         // A request may be larger than what is left: the bucket then owes the rest.
-        if bucket.level <= 0.0 {
+        let left = bucket.level - bucket.reserved(now, standing);
+        if left <= 0.0 {
             let rate = (bucket.quota.rate * standing.share()).max(1.0);
-            let wait = (tokens * 0.5 - bucket.level) / rate;
+            let wait = (tokens * 0.5 - left) / rate;
             return Err(Duration::from_secs_f64(wait.clamp(0.05, 10.0)));
         }
         bucket.level -= tokens;
@@ -111,10 +121,27 @@
         }
     }
 
-    /// Returns what this entry has used, by short hash of the organisation's name.
-    pub fn used(&self) -> impl Iterator<Item = (u32, u64)> {
-        let used = self.buckets.iter().filter(|(_, bucket)| bucket.used > 0.0);
-        used.map(|(&hash, bucket)| (hash, bucket.used as u64))
+    /// Takes over the levels of an entry that has run for `age`, if this one has just started: the
+    /// quotas may be used up.
+    pub fn adopt(&mut self, now: Instant, age: Duration, usage: &[Usage]) {
+        for theirs in usage {
+            let Some(bucket) = self.buckets.get_mut(&theirs.organisation) else {
+                continue;
+            };
+            let own = now.saturating_duration_since(bucket.made);
+            if own < YOUNG && age > own + OLDER {
+                bucket.level = bucket.level.min(theirs.level as f64);
+            }
+        }
+    }
+
+    /// Returns what this entry has used.
+    pub fn usage(&self) -> impl Iterator<Item = Usage> {
+        self.buckets.iter().map(|(&organisation, bucket)| Usage {
+            organisation,
+            used: bucket.used.max(0.0) as u64,
+            level: bucket.level as i64,
+        })
     }
 }
 
@@ -123,10 +150,23 @@
 }
 
 impl Bucket {
+    fn is_young(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.made) < YOUNG
+    }
+
+    /// Returns the part of a young bucket that belongs to entries which were not heard yet.
+    fn reserved(&self, now: Instant, standing: Standing) -> f64 {
+        if self.is_young(now) {
+            self.quota.burst * (1.0 - standing.share())
+        } else {
+            0.0
+        }
+    }
+
     fn fill(&mut self, now: Instant, standing: Standing) {
         let time = now.saturating_duration_since(self.filled).as_secs_f64();
         let share = standing.share();
-        let full = self.quota.burst * share;
+        let full = self.quota.burst * if self.is_young(now) { 1.0 } else { share };
         self.level = (self.level + self.quota.rate * share * time).min(full);
         self.filled = now;
     }
--- a/crates/ebonylug-dispatch/tests/limits.rs
+++ b/crates/ebonylug-dispatch/tests/limits.rs
@@ -5,7 +5,7 @@
 use ebonylug_core::Name;
 use ebonylug_dispatch::{
     Config, Draft, Freshness, Gossip, Limits, Organisation, Peers, Quota, Quotas, RetryBudget,
-    Standing,
+    Standing, Usage,
 };
 
 const RATE: f64 = 1_000.0;
@@ -67,7 +67,7 @@
                 }
             }
             used[own] += taken;
-            let hash = entries[own].used().next().map(|(hash, _)| hash);
+            let hash = entries[own].usage().next().map(|usage| usage.organisation);
             for other in (0..4).filter(|&other| other != own && heard(own, other)) {
                 if let Some(hash) = hash {
                     entries[other].used_elsewhere(hash, taken);
@@ -184,7 +184,11 @@
         config: 7,
         sent,
         confirmed: Some(confirmed),
-        used: vec![(1, 100 * sequence)],
+        usage: vec![Usage {
+            organisation: 1,
+            used: 100 * sequence,
+            level: 0,
+        }],
         ..Gossip::default()
     }
 }
@@ -263,3 +267,56 @@
     peers.hear(now, Duration::from_secs(1), message(1, 0, 0));
     assert_eq!(peers.newest_config(), 7);
 }
+
+/// Guards against refusals within a quota after a restart of an entry: the organisation used little
+/// before, so the burst is there.
+#[test]
+fn a_restarted_entry_does_not_refuse_what_a_quota_allows() {
+    let now = Instant::now();
+    let heard = Standing { heard: 4, known: 4 };
+    let alone = Standing { heard: 1, known: 4 };
+    let mill = Name::new("mill");
+    let mut quotas = Quotas::default();
+    quotas.update(now, &config(), alone);
+    let mut used = 0.0;
+    while quotas.take(now + TICK, &mill, 50.0, heard).is_ok() {
+        used += 50.0;
+    }
+    assert!(used >= BURST * 0.9, "{used}");
+}
+
+/// Guards against a quota that is refilled by each restart of an entry.
+#[test]
+fn a_restarted_entry_takes_over_what_is_left() {
+    let start = Instant::now();
+    let heard = Standing { heard: 2, known: 2 };
+    let mill = Name::new("mill");
+    let mut running = Quotas::default();
+    running.update(start, &config(), heard);
+    let mut now = start + Duration::from_secs(5);
+    let begin = now;
+    let mut used = 0.0;
+    // Each second the second entry restarts; the organisation asks for much more than its quota.
+    for _ in 0..8 {
+        let mut restarted = Quotas::default();
+        restarted.update(now, &config(), heard);
+        let usage: Vec<Usage> = running.usage().collect();
+        restarted.adopt(now, now - start, &usage);
+        for _ in 0..50 {
+            now += TICK;
+            let hash = usage[0].organisation;
+            for _ in 0..10 {
+                if running.take(now, &mill, 50.0, heard).is_ok() {
+                    used += 50.0;
+                    restarted.used_elsewhere(hash, 50.0);
+                }
+                if restarted.take(now, &mill, 50.0, heard).is_ok() {
+                    used += 50.0;
+                    running.used_elsewhere(hash, 50.0);
+                }
+            }
+        }
+    }
+    let allowed = RATE * (now - begin).as_secs_f64() + BURST;
+    assert!(used <= allowed * 1.1, "{used} of {allowed}");
+}
