Keep a target's failure as the answer if no other target gives one; explain requests from logs

A safe request whose first target failed waited for a second one, and the first answer was thrown away when none came. Change: the failure is kept and passed on; targets that were tried do not count as usable; unreachable targets do not count against max attempts; ebonylugctl explain prints a request's lines and its cause; lines for callers that leave and for streams that break off.

--- a/crates/ebonylug-direct/src/attempt.rs
+++ b/crates/ebonylug-direct/src/attempt.rs
@@ -35,10 +35,30 @@
     NotRun(StatusCode),
     /// The request may have run.
     Unknown(Box<str>),
+    /// The target states a failure of its own.
+    Failed(StatusCode),
     /// The time limit passed; the request may have run.
     Late,
 }
 
+impl Failure {
+    /// Reports whether the request may have run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        !matches!(self, Failure::Unsent(_) | Failure::NotRun(_))
+    }
+
+    /// Returns the name in metrics.
+    pub(crate) fn cause(&self) -> &'static str {
+        match self {
+            Failure::Unsent(_) => "unsent",
+            Failure::NotRun(_) => "not_run",
+            Failure::Unknown(_) => "unknown",
+            Failure::Failed(_) => "failed",
+            Failure::Late => "late",
+        }
+    }
+}
+
 pub(crate) type Result<T, E = Failure> = std::result::Result<T, E>;
 
 /// Sends a request to a target and waits for the head of the answer.
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -163,13 +163,16 @@
         service,
         model,
         tried: SmallVec::new(),
+        sent: 0,
         ran: 0,
         unrun: 0,
         quota,
+        ended: Cell::new(false),
         _active: active,
     };
     let begun = job.first().await;
     trace.attempts = job.tried.len();
+    job.ended.set(!matches!(begun, Ok(Begun::Stream(..))));
     match begun? {
         Begun::Whole(head, body) => {
             let failed = head.status.is_server_error();
@@ -244,14 +247,36 @@
     service: Name,
     model: bool,
     tried: SmallVec<[TargetKey; 2]>,
+    /// Targets that got the request, or may have.
+    sent: u32,
     /// Attempts that may have run.
     ran: u32,
     /// Attempts that did not run.
     unrun: u32,
     quota: Option<Spent>,
+    /// Whether the entry knows how the request ended.
+    ended: Cell<bool>,
     _active: Active,
 }
 
+impl Drop for Job {
+    fn drop(&mut self) {
+        if self.ended.get() {
+            return;
+        }
+        let kind = Some(self.call.route.kind);
+        self.entry.instruments.ended(kind, "left", "");
+        tracing::info!(
+            part = "request",
+            request = self.call.id.to_str().unwrap_or_default(),
+            route = %self.call.route.name,
+            waited_ms = millis(self.call.arrived.elapsed()),
+            attempts = self.tried.len(),
+            "caller left"
+        );
+    }
+}
+
 /// An answer that can be passed on.
 enum Begun {
     Whole(http::response::Parts, Bytes),
@@ -287,40 +312,55 @@
     /// Runs attempts until one gives an answer.
     async fn first(&mut self) -> request::Result<Begun> {
         self.entry.count_request(&self.service);
+        let mut failed = None;
+        loop {
+            let next = self.attempt().await;
+            match next {
+                // A target's failure is the answer if no other target gives one.
+                Ok(Begun::Whole(head, body)) if self.is_worth_another(&head) => {
+                    let cause = Failure::Failed(head.status);
+                    failed = Some(Begun::Whole(head, body));
+                    self.note(&cause);
+                    if !self.may_repeat() {
+                        break;
+                    }
+                }
+                Ok(begun) => return Ok(begun),
+                Err(rejection) => match failed {
+                    Some(_) => break,
+                    None => return Err(rejection),
+                },
+            }
+        }
+        failed.ok_or_else(bad_gateway)
+    }
+
+    /// Sends to targets until one gives a whole answer or begins a stream.
+    async fn attempt(&mut self) -> request::Result<Begun> {
         loop {
             let grant = match self.entry.grant(self.ask()).await {
                 Ok(grant) => grant,
                 Err(refusal) if self.ran == 0 => return Err(Rejection::Refused(refusal)),
                 Err(_) => return Err(bad_gateway()),
             };
-            let target = grant.target();
+            self.tried.push(grant.target());
             if let Some(quota) = &self.quota {
                 // A request that a target did not run counts all the same: the caller's next one
                 // is then a little later.
                 quota.kept.set(true);
             }
-            let attempt = attempt::open(&self.entry, &self.call, grant, None).await;
-            let begun = match attempt {
+            let begun = match attempt::open(&self.entry, &self.call, grant, None).await {
                 Ok(opened) => self.begin(opened).await,
                 Err(failure) => Err(failure),
             };
-            self.tried.push(target);
-            let failure = match begun {
-                Ok(Begun::Whole(head, body)) if self.is_worth_another(&head) => {
-                    // The failure is a final answer if no other target can be tried.
-                    self.ran += 1;
-                    if !self.may_repeat() {
-                        return Ok(Begun::Whole(head, body));
-                    }
-                    continue;
-                }
+            match begun {
                 Ok(begun) => {
+                    self.sent += 1;
                     self.ran += 1;
                     return Ok(begun);
                 }
-                Err(failure) => failure,
-            };
-            self.after(failure)?;
+                Err(failure) => self.after(&failure)?,
+            }
         }
     }
 
@@ -335,31 +375,33 @@
         Ok(Begun::Whole(head, body))
     }
 
-    /// Decides what follows a failed attempt: `Ok` for another one, or the final answer.
-    fn after(&mut self, failure: Failure) -> request::Result<()> {
-        let (ran, status, cause) = match &failure {
-            Failure::Unsent(_) => (false, StatusCode::SERVICE_UNAVAILABLE, "unsent"),
-            Failure::NotRun(status) => (false, *status, "not_run"),
-            Failure::Unknown(_) => (true, StatusCode::BAD_GATEWAY, "unknown"),
-            Failure::Late => (true, StatusCode::GATEWAY_TIMEOUT, "late"),
-        };
-        self.entry.instruments.failed(cause);
+    /// Logs and counts a failed attempt.
+    fn note(&self, failure: &Failure) {
+        self.entry.instruments.failed(failure.cause());
         tracing::info!(
             part = "attempt",
             request = self.call.id.to_str().unwrap_or_default(),
             route = %self.call.route.name,
+            target = self.tried.last().and_then(|&key| self.entry.target(key)).map(|t| t.name.as_str().to_owned()),
             ?failure,
-            ran,
+            ran = failure.may_have_run(),
             attempts = self.tried.len(),
+            left_ms = millis(self.call.limit.saturating_duration_since(Instant::now())),
             "attempt failed"
         );
-        if ran {
+    }
+
+    /// Decides what follows a failed attempt: `Ok` for another one, or the final answer.
+    fn after(&mut self, failure: &Failure) -> request::Result<()> {
+        self.note(failure);
+        self.sent += u32::from(!matches!(failure, Failure::Unsent(_)));
+        if failure.may_have_run() {
             self.ran += 1;
         } else {
             self.unrun += 1;
         }
         let again = match failure {
-            Failure::Late => false,
+            Failure::Late | Failure::Failed(_) => false,
             Failure::Unknown(_) => self.call.route.kind.is_idempotent() && self.may_repeat(),
             Failure::Unsent(_) => self.unrun < MAX_UNSENT && self.has_time(),
             Failure::NotRun(_) => self.unrun < MAX_UNRUN && self.may_repeat(),
@@ -367,11 +409,9 @@
         if again {
             return Ok(());
         }
-        Err(match (self.ran, status) {
-            (0, _) => refuse(Reason::Rejected, REJECTED_RETURN),
-            (_, StatusCode::GATEWAY_TIMEOUT) => {
-                Rejection::Unknown(StatusCode::GATEWAY_TIMEOUT, "no_answer_in_time")
-            }
+        Err(match failure {
+            _ if self.ran == 0 => refuse(Reason::Rejected, REJECTED_RETURN),
+            Failure::Late => Rejection::Unknown(StatusCode::GATEWAY_TIMEOUT, "no_answer_in_time"),
             _ => bad_gateway(),
         })
     }
@@ -383,14 +423,20 @@
 
     /// Reports whether another target may get the request, and takes that out of the budget.
     pub(crate) fn may_repeat(&self) -> bool {
-        let sends = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
-        sends < self.call.route.attempts && self.has_time() && self.entry.take_retry(&self.service)
+        self.sent < self.call.route.attempts
+            && self.has_time()
+            && self.entry.take_retry(&self.service)
     }
 
     fn has_time(&self) -> bool {
         Instant::now() + MIN_LEFT < self.call.limit
     }
 
+    /// Notes that the end of the request is known.
+    pub(crate) fn end(&self) {
+        self.ended.set(true);
+    }
+
     /// Returns the number of targets that the request was sent to.
     pub(crate) fn attempts(&self) -> usize {
         self.tried.len()
@@ -407,16 +453,16 @@
         while self.may_repeat() {
             let grant = self.entry.grant(self.ask_again()).await.ok()?;
             self.tried.push(grant.target());
-            match attempt::open(&self.entry, &self.call, grant, last).await {
-                Ok(opened) if opened.head.status.is_success() => return Some(opened),
-                Ok(_) => {}
-                Err(failure) => tracing::info!(
-                    part = "attempt",
-                    request = self.call.id.to_str().unwrap_or_default(),
-                    ?failure,
-                    "resume failed"
-                ),
-            }
+            let failure = match attempt::open(&self.entry, &self.call, grant, last).await {
+                Ok(opened) if opened.head.status.is_success() => {
+                    self.sent += 1;
+                    return Some(opened);
+                }
+                Ok(opened) => Failure::Failed(opened.head.status),
+                Err(failure) => failure,
+            };
+            self.sent += u32::from(!matches!(failure, Failure::Unsent(_)));
+            self.note(&failure);
         }
         None
     }
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -148,6 +148,7 @@
                 }
                 Part::Late => {
                     opened.grant.note(Outcome::Withdrawn);
+                    self.break_off("the time limit has passed");
                     return Some(Err(std::io::Error::other("the time limit has passed")));
                 }
                 Part::Broken(error) => error,
@@ -162,14 +163,29 @@
                 "stream broke"
             );
             if !self.resume().await {
-                let kind = Some(self.job.call.route.kind);
-                let instruments = &self.job.entry.instruments;
-                instruments.ended(kind, "broken_off", "");
+                self.break_off(&error);
                 return Some(Err(std::io::Error::other(String::from(error))));
             }
         }
     }
 
+    /// Logs that the caller does not get the whole answer.
+    fn break_off(&self, error: &str) {
+        let call = &self.job.call;
+        let instruments = &self.job.entry.instruments;
+        instruments.ended(Some(call.route.kind), "broken_off", "");
+        self.job.end();
+        tracing::info!(
+            part = "request",
+            request = call.id.to_str().unwrap_or_default(),
+            route = %call.route.name,
+            events = self.events.count,
+            attempts = self.job.attempts(),
+            error,
+            "broken off"
+        );
+    }
+
     async fn resume(&mut self) -> bool {
         let last = self.events.last.map(HeaderValue::from);
         let resumed = self.job.resume(last.as_ref()).await;
@@ -206,6 +222,7 @@
 
     fn end(&mut self, opened: Opened) {
         self.tell(&opened);
+        self.job.end();
         let kind = Some(self.job.call.route.kind);
         self.job.entry.instruments.ended(kind, "served", "");
         opened.grant.note(Outcome::Answered);
--- a/crates/ebonylug-direct/tests/requests.rs
+++ b/crates/ebonylug-direct/tests/requests.rs
@@ -255,6 +255,26 @@
     });
 }
 
+/// Guards against a target's failure that is replaced by one of the entry's own because no second target
+/// can be tried, and against a wait for one.
+#[test]
+fn a_failure_is_kept_if_no_other_target_answers() {
+    run(async {
+        let failed = answer("r1", "500 Failed", "x-signature: s\r\n", "why");
+        let target = Scripted::start("engine-1", vec![Act::Send(failed.clone())]).await;
+        let world = World::start(&[&target]).await;
+        let alone = world.call(&get("safe", "r1")).await;
+        assert_eq!(status(&alone), 500, "{alone}");
+        assert_eq!(target.count(), 1);
+        let script = vec![Act::Send(failed), Act::Close(String::new())];
+        let [first, second] = Scripted::pair(script).await;
+        let world = World::start(&[&first, &second]).await;
+        let both = world.call(&get("safe", "r1")).await;
+        assert_eq!(status(&both), 500, "{both}");
+        assert_eq!((first.count(), second.count()), (1, 1));
+    });
+}
+
 /// Guards against a refusal after proof that nothing ran that does not say so.
 #[test]
 fn a_request_that_did_not_run_is_refused_as_such() {
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -290,7 +290,8 @@
     /// Reports whether there is a target that may serve a request, now or later.
     #[must_use]
     pub fn has_target(&self, ask: &Ask) -> bool {
-        let usable = |key: &TargetKey| self.is_usable(&self.targets[*key], ask);
+        let usable =
+            |key: &TargetKey| !ask.tried.contains(key) && self.is_usable(&self.targets[*key], ask);
         let keys = self.services.get(&ask.service);
         keys.is_some_and(|keys| keys.iter().any(usable))
     }
--- a/crates/ebonylugctl/src/arguments.rs
+++ b/crates/ebonylugctl/src/arguments.rs
@@ -57,6 +57,9 @@
     /// Show what happened, over all processes in causal order
     #[bpaf(command)]
     Events(#[bpaf(external(events))] Events),
+    /// Show what became of a request, and why, from the logs of all processes
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain))] Explain),
     /// Show or release requests that are refused because they crash targets
     #[bpaf(command)]
     Quarantine(#[bpaf(external(quarantine))] Quarantine),
@@ -65,6 +68,16 @@
     HashToken,
 }
 
+#[derive(Clone, Debug, PartialEq, Bpaf)]
+pub(crate) struct Explain {
+    /// The id of the request, as its caller sent it
+    #[bpaf(positional("REQUEST_ID"))]
+    pub request: String,
+    /// Log files; standard input by default
+    #[bpaf(positional("FILE"))]
+    pub files: Vec<PathBuf>,
+}
+
 #[derive(Clone, Debug, PartialEq, Bpaf)]
 pub(crate) struct Get {
     #[bpaf(external(connection))]
@@ -225,7 +238,7 @@
             Command::Events(events) => &events.connection,
             Command::Quarantine(Quarantine::List(list)) => &list.connection,
             Command::Quarantine(Quarantine::Release(release)) => &release.connection,
-            Command::HashToken => &self.connection,
+            Command::Explain(_) | Command::HashToken => &self.connection,
         };
         let outer = &self.connection;
         Connection {
--- a/crates/ebonylugctl/src/command/mod.rs
+++ b/crates/ebonylugctl/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one module for each group.
 
 mod events;
+mod explain;
 mod moves;
 mod progress;
 mod quarantine;
@@ -22,6 +23,9 @@
     if arguments.command == Command::HashToken {
         return token::hash(console);
     }
+    if let Command::Explain(explain) = &arguments.command {
+        return explain::run(explain, console);
+    }
     let connection = arguments.connection();
     let server = connection.address(environment)?;
     let api = Api::new(server, connection.authorization(environment)?);
@@ -35,6 +39,7 @@
         Command::Move(planned) => moves::start(&api, planned, console).await,
         Command::Events(events) => events::show(&api, events, console).await,
         Command::Quarantine(quarantine) => quarantine::run(&api, quarantine, console).await,
+        Command::Explain(explain) => explain::run(explain, console),
         Command::HashToken => token::hash(console),
     }
 }
--- a/crates/ebonylugctl/src/lib.rs
+++ b/crates/ebonylugctl/src/lib.rs
@@ -27,6 +27,7 @@
 mod connection;
 mod console;
 mod error;
+mod explain;
 mod outcome;
 mod output;
 
