--- a/crates/ebonylug-direct/src/attempt.rs
+++ b/crates/ebonylug-direct/src/attempt.rs
@@ -9,7 +9,8 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use crate::entry::{Entry, Grant};
+use crate::entry::Entry;
+use crate::grant::Grant;
 use crate::pool::{Error, Lease};
 use crate::request::Call;
 
--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -6,15 +6,15 @@
 
 use ebonylug_core::{Clock, Incarnation, Name};
 use ebonylug_dispatch::{
-    Ask, Asked, Config, Decision, Freshness, Gossip, Outcome, Peers, Quotas, Reason, Refusal,
-    RetryBudget, Scheduler, Target, TargetKey, Versions, WaitKey,
+    Ask, Asked, Config, Decision, Freshness, Gossip, Peers, Quotas, Reason, Refusal, RetryBudget,
+    Scheduler, Target, TargetKey, Versions, WaitKey,
 };
-use ebonylug_moves::Sample;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::oneshot;
 
 use crate::dialect::Dialect;
+use crate::grant::{Grant, Ticket, Waiter};
 use crate::instruments::{Instruments, Levels};
 use crate::moves::{Moves, Order, Report};
 use crate::pool::Pool;
@@ -48,23 +48,23 @@
     pub(crate) body_bytes: Cell<usize>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) active: Cell<usize>,
-    state: RefCell<State>,
+    pub(crate) state: RefCell<State>,
     boot: u64,
     started: Instant,
 }
 
-struct State {
+pub(crate) struct State {
     config: Option<Rc<Config>>,
-    scheduler: Scheduler,
+    pub(crate) scheduler: Scheduler,
     quotas: Quotas,
     budgets: HashMap<Name, RetryBudget>,
     freshness: Freshness,
     peers: Peers,
-    waiters: HashMap<WaitKey, Waiter>,
+    pub(crate) waiters: HashMap<WaitKey, Waiter>,
     rng: ChaCha8Rng,
     sequence: u64,
     targets_known: bool,
-    moves: Moves,
+    pub(crate) moves: Moves,
 }
 
 impl State {
@@ -510,108 +510,7 @@
     scheduler.remove_target(name);
 }
 
-fn millis(time: Duration) -> u64 {
+/// Returns whole milliseconds, for logs and messages.
+pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
-
-/// Withdraws a request that waits when its future is dropped.
-struct Ticket {
-    entry: Rc<Entry>,
-    key: WaitKey,
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        let mut state = self.entry.state.borrow_mut();
-        state.waiters.remove(&self.key);
-        state.scheduler.withdraw(self.key);
-    }
-}
-
-/// Where the decision about a request that waits goes.
-struct Waiter {
-    sender: oneshot::Sender<Result<Grant, Refusal>>,
-    prompt: u32,
-}
-
-/// A place at a target. Dropping it frees the place.
-pub(crate) struct Grant {
-    entry: Rc<Entry>,
-    target: TargetKey,
-    /// Prompt tokens that the target has to read.
-    prompt: Cell<u32>,
-    outcome: Cell<Outcome>,
-    pace: Cell<Option<f64>>,
-    /// Whether the answer began later than its route aims for.
-    slow: Cell<bool>,
-}
-
-impl Grant {
-    fn new(entry: &Rc<Entry>, target: TargetKey, prompt: u32) -> Self {
-        Grant {
-            prompt: Cell::new(prompt),
-            entry: Rc::clone(entry),
-            target,
-            outcome: Cell::new(Outcome::Withdrawn),
-            pace: Cell::new(None),
-            slow: Cell::new(false),
-        }
-    }
-
-    pub(crate) fn target(&self) -> TargetKey {
-        self.target
-    }
-
-    /// Notes that the target has read the prompt.
-    pub(crate) fn read(&self) {
-        let prompt = self.prompt.take();
-        if prompt > 0 {
-            let mut state = self.entry.state.borrow_mut();
-            state.scheduler.read(self.target, prompt);
-        }
-    }
-
-    /// Sets what the attempt showed about the target.
-    pub(crate) fn note(&self, outcome: Outcome) {
-        self.outcome.set(outcome);
-    }
-
-    /// Notes that the answer began later than its route aims for.
-    pub(crate) fn set_slow(&self, slow: bool) {
-        self.slow.set(slow);
-    }
-
-    /// Sets the time for each unit of work, in seconds.
-    pub(crate) fn set_pace(&self, pace: f64) {
-        self.pace.set(Some(pace));
-    }
-}
-
-impl Drop for Grant {
-    fn drop(&mut self) {
-        let now = self.entry.clock.now();
-        let mut state = self.entry.state.borrow_mut();
-        let (outcome, pace) = (self.outcome.get(), self.pace.get());
-        state.scheduler.read(self.target, self.prompt.get());
-        let sample = match outcome {
-            Outcome::Answered => Some(Sample::answered().slow(self.slow.get())),
-            Outcome::Failed | Outcome::Broken | Outcome::Unreachable => Some(Sample::failed()),
-            Outcome::Refused | Outcome::Withdrawn => None,
-        };
-        let target = state.scheduler.target(self.target);
-        if let (Some(sample), Some(target)) = (sample, target) {
-            let (service, version) = (target.service.clone(), target.version.clone());
-            let uptime = self.entry.uptime.uptime();
-            state.moves.record(uptime, &service, &version, sample);
-        }
-        let change = state.scheduler.ended(now, self.target, outcome, pace);
-        if let Some(change) = change
-            && let Some(target) = state.scheduler.target(self.target)
-        {
-            let change = change.as_str();
-            tracing::info!(part = "targets", target = %target.name, service = %target.service, ?outcome, change, "health of a target");
-        }
-        drop(state);
-        self.entry.pump();
-    }
-}
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -16,7 +16,7 @@
 
 use crate::answer::{self, Answer, Rejection, Served};
 use crate::attempt::{self, Failure, Opened};
-use crate::entry::Entry;
+use crate::entry::{Entry, millis};
 use crate::request::{self, Call};
 use crate::stream::EventStream;
 
@@ -112,10 +112,6 @@
     );
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn refuse(reason: Reason, after: Duration) -> Rejection {
     Rejection::Refused(Refusal { reason, after })
 }
--- /dev/null
+++ b/crates/ebonylug-direct/src/grant.rs
@@ -0,0 +1,112 @@
+//! Places at targets, and requests that wait for one.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use ebonylug_dispatch::{Outcome, Refusal, TargetKey, WaitKey};
+use ebonylug_moves::Sample;
+use tokio::sync::oneshot;
+
+use crate::entry::Entry;
+
+/// Withdraws a request that waits when its future is dropped.
+pub(crate) struct Ticket {
+    pub(crate) entry: Rc<Entry>,
+    pub(crate) key: WaitKey,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let mut state = self.entry.state.borrow_mut();
+        state.waiters.remove(&self.key);
+        state.scheduler.withdraw(self.key);
+    }
+}
+
+/// Where the decision about a request that waits goes.
+pub(crate) struct Waiter {
+    pub(crate) sender: oneshot::Sender<Result<Grant, Refusal>>,
+    pub(crate) prompt: u32,
+}
+
+/// A place at a target. Dropping it frees the place.
+pub(crate) struct Grant {
+    entry: Rc<Entry>,
+    target: TargetKey,
+    /// Prompt tokens that the target has to read.
+    prompt: Cell<u32>,
+    outcome: Cell<Outcome>,
+    pace: Cell<Option<f64>>,
+    /// Whether the answer began later than its route aims for.
+    slow: Cell<bool>,
+}
+
+impl Grant {
+    pub(crate) fn new(entry: &Rc<Entry>, target: TargetKey, prompt: u32) -> Self {
+        Grant {
+            prompt: Cell::new(prompt),
+            entry: Rc::clone(entry),
+            target,
+            outcome: Cell::new(Outcome::Withdrawn),
+            pace: Cell::new(None),
+            slow: Cell::new(false),
+        }
+    }
+
+    pub(crate) fn target(&self) -> TargetKey {
+        self.target
+    }
+
+    /// Notes that the target has read the prompt.
+    pub(crate) fn read(&self) {
+        let prompt = self.prompt.take();
+        if prompt > 0 {
+            let mut state = self.entry.state.borrow_mut();
+            state.scheduler.read(self.target, prompt);
+        }
+    }
+
+    /// Sets what the attempt showed about the target.
+    pub(crate) fn note(&self, outcome: Outcome) {
+        self.outcome.set(outcome);
+    }
+
+    /// Notes that the answer began later than its route aims for.
+    pub(crate) fn set_slow(&self, slow: bool) {
+        self.slow.set(slow);
+    }
+
+    /// Sets the time for each unit of work, in seconds.
+    pub(crate) fn set_pace(&self, pace: f64) {
+        self.pace.set(Some(pace));
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let now = self.entry.clock.now();
+        let mut state = self.entry.state.borrow_mut();
+        let (outcome, pace) = (self.outcome.get(), self.pace.get());
+        state.scheduler.read(self.target, self.prompt.get());
+        let sample = match outcome {
+            Outcome::Answered => Some(Sample::answered().slow(self.slow.get())),
+            Outcome::Failed | Outcome::Broken | Outcome::Unreachable => Some(Sample::failed()),
+            Outcome::Refused | Outcome::Withdrawn => None,
+        };
+        let target = state.scheduler.target(self.target);
+        if let (Some(sample), Some(target)) = (sample, target) {
+            let (service, version) = (target.service.clone(), target.version.clone());
+            let uptime = self.entry.uptime.uptime();
+            state.moves.record(uptime, &service, &version, sample);
+        }
+        let change = state.scheduler.ended(now, self.target, outcome, pace);
+        if let Some(change) = change
+            && let Some(target) = state.scheduler.target(self.target)
+        {
+            let change = change.as_str();
+            tracing::info!(part = "targets", target = %target.name, service = %target.service, ?outcome, change, "health of a target");
+        }
+        drop(state);
+        self.entry.pump();
+    }
+}
--- a/crates/ebonylug-direct/src/lib.rs
+++ b/crates/ebonylug-direct/src/lib.rs
@@ -26,6 +26,7 @@
 mod events;
 pub mod follow;
 mod forward;
+mod grant;
 mod instruments;
 mod moves;
 pub mod peers;
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -8,6 +8,7 @@
 
 use crate::answer::Result;
 use crate::attempt::{self, Failure, Opened};
+use crate::entry::millis;
 use crate::events::{Splitter, ids, number};
 use crate::forward::Job;
 
@@ -205,7 +206,6 @@
         if first <= call.route.aim && self.events.pause <= gap {
             return;
         }
-        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         tracing::info!(
             part = "stream",
             request = call.id.to_str().unwrap_or_default(),
--- a/crates/ebonylugctl/tests/pages.rs
+++ b/crates/ebonylugctl/tests/pages.rs
@@ -10,7 +10,7 @@
 use ebonylug_net::settings;
 use ebonylug_resource::{Change, Document, Kind, parse_resources};
 
-const OPERATORS: &str = include_str!("../../../docs/OPERATORS.md");
+const OPERATIONS: &str = include_str!("../../../docs/OPERATIONS.md");
 
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
@@ -19,7 +19,7 @@
 /// Guards against examples of resources that are refused.
 #[test]
 fn examples_of_resources() {
-    let blocks = OPERATORS.split("```json5\n").skip(1);
+    let blocks = OPERATIONS.split("```json5\n").skip(1);
     let blocks = blocks.map(|rest| rest.split_once("```").expect("the block ends").0);
     let mut change = Change::default();
     for block in blocks {
@@ -49,7 +49,7 @@
     for line in codes.filter(|line| !line.is_empty()) {
         let (code, meaning) = line.split_once("  ").expect("a code and its meaning");
         assert!(
-            OPERATORS.contains(&format!("| {code} | {meaning} |")),
+            OPERATIONS.contains(&format!("| {code} | {meaning} |")),
             "{line}"
         );
         count += 1;
@@ -86,7 +86,7 @@
             .to_owned()
     };
     let words: BTreeSet<String> = reasons.iter().map(word).collect();
-    let table = OPERATORS
+    let table = OPERATIONS
         .split_once("| `ebonylug-reason` |")
         .expect("a table of reasons")
         .1;
@@ -102,7 +102,10 @@
 
 /// Returns the defaults in the table of settings below a heading, by field.
 fn defaults(heading: &str) -> BTreeMap<&'static str, &'static str> {
-    let section = OPERATORS.split_once(heading).expect("there is a section").1;
+    let section = OPERATIONS
+        .split_once(heading)
+        .expect("there is a section")
+        .1;
     let rows = section
         .lines()
         .skip_while(|line| !line.starts_with('|'))
@@ -176,7 +179,7 @@
 /// Guards against links to files and sections that do not exist.
 #[test]
 fn links() {
-    for page in ["README.md", "docs/OPERATORS.md", "docs/GLOSSARY.md"] {
+    for page in ["README.md", "docs/OPERATIONS.md", "docs/GLOSSARY.md"] {
         let path = root().join(page);
         let text = std::fs::read_to_string(&path).expect("the page exists");
         let sections = |text: &str| -> BTreeSet<String> {
@@ -202,7 +205,7 @@
 #[test]
 fn commands() {
     let mut count = 0;
-    for line in OPERATORS
+    for line in OPERATIONS
         .lines()
         .filter_map(|line| line.strip_prefix("    "))
     {
