Bind only subjects that come again to a target

Cause: found by reading: every prompt's last part is its own, so nearly every request had a home by its hash, and neither pace nor zone nor the prompts to read decided. Test: only_subjects_that_come_again_are_bound_to_a_target.

--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -32,6 +32,7 @@
 mod refusal;
 mod rollout;
 mod scheduler;
+mod subject;
 mod target;
 mod waiting;
 
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -11,6 +11,7 @@
 use crate::health::{Change, Health, Outcome};
 use crate::refusal::{Reason, Refusal};
 use crate::rollout::Versions;
+use crate::subject::Subjects;
 use crate::target::{Known, Others, Target, TargetKey, TargetState};
 use crate::waiting::{WaitKey, Waiting};
 
@@ -110,6 +111,7 @@
     cold_rates: HashMap<Name, (f64, Duration)>,
     evacuated: HashSet<Name>,
     waiting: Waiting,
+    subjects: Subjects,
     entries: usize,
     draws: u64,
     changes: u64,
@@ -128,6 +130,7 @@
             cold_rates: HashMap::new(),
             evacuated: HashSet::new(),
             waiting: Waiting::default(),
+            subjects: Subjects::default(),
             entries: 1,
             draws: seed,
             changes: 0,
@@ -277,7 +280,7 @@
         if self.waiting.ahead(ask.service.as_str(), ask.rank) == 0
             && let Some(key) = self.choose(now, &ask)
         {
-            self.sent(now, key, ask.prompt);
+            self.sent(now, key, &ask);
             return Asked::Send(key);
         }
         if ask.patience.is_zero() || self.waiting.len() >= self.settings.capacity {
@@ -324,7 +327,7 @@
                 self.choose(now, &waiter.ask)
             };
             if let Some(target) = chosen {
-                self.sent(now, target, waiter.ask.prompt);
+                self.sent(now, target, &waiter.ask);
                 decisions.push((key, Decision::Send(target)));
             } else if waiter.until <= now {
                 let refusal = self.refusal(Reason::Full, waiter.ask.after);
@@ -394,9 +397,12 @@
         &self.evacuated
     }
 
-    fn sent(&mut self, now: Instant, key: TargetKey, prompt: u32) {
+    fn sent(&mut self, now: Instant, key: TargetKey, ask: &Ask) {
+        if let Some(subject) = ask.subject {
+            self.subjects.note(now, subject, key);
+        }
         let known = &mut self.targets[key];
-        known.prefill = known.prefill.saturating_add(prompt);
+        known.prefill = known.prefill.saturating_add(ask.prompt);
         known.own += 1;
         self.changes += 1;
         if let Some(cold) = &mut known.cold {
@@ -445,8 +451,8 @@
     /// places, and the best one is taken. A long prompt weighs more at a slow target than a short one,
     /// so that long prompts go to fast targets.
     ///
-    /// The cache of a prompt's own part is at the target that rendezvous hashing gives, which all
-    /// entries compute alike; it is taken unless it is much busier than the least busy one.
+    /// A target that this entry has sent the same subject to a moment ago has the prompt in its cache; it
+    /// is taken unless it is much busier than the least busy one.
     fn choose(&self, now: Instant, ask: &Ask) -> Option<TargetKey> {
         if !self.has_room(now, ask) {
             return None;
@@ -472,7 +478,6 @@
             let near = known.info.zone == self.zone;
             candidates.push(Candidate {
                 key,
-                hash: known.hash,
                 load: known.load(),
                 free: if near {
                     free * self.settings.near
@@ -482,7 +487,7 @@
                 score: score(known, ask, pace) * if near { 1.0 } else { self.settings.far },
             });
         }
-        if let Some(key) = self.home(ask, &candidates) {
+        if let Some(key) = self.home(now, ask, &candidates) {
             return Some(key);
         }
         let drawn =
@@ -506,12 +511,12 @@
         (sum / f64::from(count)).max(f64::MIN_POSITIVE)
     }
 
-    /// Returns the target that has the cache of the prompt's own part, if it is not too busy.
-    fn home(&self, ask: &Ask, candidates: &[Candidate]) -> Option<TargetKey> {
-        let subject = ask.subject?;
+    /// Returns the target that has the subject's prompt in its cache, if it is not too busy.
+    fn home(&self, now: Instant, ask: &Ask, candidates: &[Candidate]) -> Option<TargetKey> {
+        let key = self.subjects.find(now, ask.subject?)?;
         let lowest = candidates.iter().map(|c| c.load).min()?;
-        let home = candidates.iter().max_by_key(|c| mix(c.hash, subject))?;
-        (home.load <= lowest + self.settings.affinity).then_some(home.key)
+        let home = candidates.iter().find(|candidate| candidate.key == key)?;
+        (home.load <= lowest + self.settings.affinity).then_some(key)
     }
 
     fn refusal(&mut self, reason: Reason, after: Duration) -> Refusal {
@@ -529,7 +534,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
     key: TargetKey,
-    hash: u64,
     load: u32,
     free: u32,
     /// Lower is better.
--- a/crates/ebonylug-dispatch/tests/scheduler.rs
+++ b/crates/ebonylug-dispatch/tests/scheduler.rs
@@ -352,3 +352,34 @@
         "a trial after the rest"
     );
 }
+
+/// Guards against a new subject that is bound to a target by its hash alone, whatever that target's speed
+/// and zone, and against a known subject whose prompt is read again elsewhere.
+#[test]
+fn only_subjects_that_come_again_are_bound_to_a_target() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(1);
+    let mut near = HashSet::new();
+    for number in 0..12 {
+        let key = scheduler.put_target(now, target(number));
+        if number % 3 == 0 {
+            near.insert(key);
+        }
+    }
+    let with = |subject| Ask {
+        subject: Some(subject),
+        ..ask(0)
+    };
+    let mut on_near = 0;
+    for subject in 0..100 {
+        let first = sent(scheduler.ask(now, with(subject))).expect("targets are free");
+        on_near += u32::from(near.contains(&first));
+        scheduler.read(first, 500);
+        scheduler.ended(now, first, Outcome::Answered, None);
+        let again = sent(scheduler.ask(now, with(subject))).expect("targets are free");
+        assert_eq!(first, again);
+        scheduler.read(again, 500);
+        scheduler.ended(now, again, Outcome::Answered, None);
+    }
+    assert!(on_near >= 60, "{on_near} of 100 in the own zone");
+}
