Bound what an entry tells the others

Change: the pause between two messages to one entry grows with the entries, 3 ms for each in the zone and 5 ms for each elsewhere; messages say when the next one comes, by which silence is judged.

--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -424,6 +424,7 @@
             boot: self.boot,
             sequence: state.sequence,
             config: state.config.as_ref().map_or(0, |config| config.version),
+            pause: 0,
             sent: millis(self.uptime.uptime()),
             confirmed: state.freshness.confirmed().map(millis),
             leaving: self.stopping.get(),
--- a/crates/ebonylug-direct/src/peers.rs
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -14,15 +14,16 @@
 
 use crate::entry::Entry;
 
-/// Time between two messages to an entry of the same zone while loads change. What an entry knows of
-/// the others is as old as this, and what all send to a target within this time is a guess.
-const MIN_INTERVAL: Duration = Duration::from_millis(20);
-/// Time between two messages to an entry of another zone, for each entry that gets them, so that bytes
-/// between zones do not grow with the square of the entries.
-const FAR_INTERVAL: Duration = Duration::from_millis(5);
-/// Time between two messages while nothing changes; entries that are silent for four of these count
-/// as unheard.
-const MAX_INTERVAL: Duration = Duration::from_millis(150);
+/// The shortest time between two messages to one entry while loads change. What an entry knows of the
+/// others is as old as this, and what all send to a target within this time is a guess.
+const MIN_PAUSE: Duration = Duration::from_millis(20);
+/// Time between two messages to an entry of the same zone, for each such entry, so that what an entry
+/// sends has a bound.
+const NEAR_PAUSE: Duration = Duration::from_millis(3);
+/// The same for all entries and those of other zones. Bytes between zones are dear.
+const FAR_PAUSE: Duration = Duration::from_millis(5);
+/// Time between two messages while nothing changes, unless the pauses above are longer.
+const QUIET_PAUSE: Duration = Duration::from_millis(150);
 /// Bytes of a datagram.
 const MAX_BYTES: usize = 60_000;
 
@@ -84,7 +85,7 @@
     /// Sends messages for ever.
     pub async fn send(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(MIN_INTERVAL).await;
+            tokio::time::sleep(MIN_PAUSE).await;
             self.entry.expire_peers();
             self.entry.pool.expire();
             self.tell(false).await;
@@ -97,7 +98,10 @@
         if due.loads.is_empty() && due.whole.is_empty() {
             return;
         }
+        let entries = self.peers.borrow().len();
+        let longest = pause(FAR_PAUSE, entries).max(QUIET_PAUSE) + MIN_PAUSE;
         let mut gossip = self.entry.gossip();
+        gossip.pause = u32::try_from(longest.as_millis()).unwrap_or(u32::MAX);
         self.send_to(&gossip, &due.whole).await;
         gossip.usage.clear();
         self.send_to(&gossip, &due.loads).await;
@@ -109,20 +113,20 @@
         let changes = self.entry.load_changes();
         let mut due = Due::default();
         let mut peers = self.peers.borrow_mut();
-        let entries = u32::try_from(peers.len()).unwrap_or(u32::MAX);
-        let far = FAR_INTERVAL.saturating_mul(entries);
-        let far = far.clamp(MIN_INTERVAL, MAX_INTERVAL);
+        let near = peers.values().filter(|peer| peer.near).count();
+        let pauses = [pause(NEAR_PAUSE, near), pause(FAR_PAUSE, peers.len())];
         for peer in peers.values_mut() {
-            let pause = if peer.near { MIN_INTERVAL } else { far };
+            let pause = if peer.near { pauses[0] } else { pauses[1] };
+            let quiet = pause.max(QUIET_PAUSE);
             let silent = now.duration_since(peer.told);
             let changed = changes != peer.changes && silent >= pause;
-            if !(all || changed || silent >= MAX_INTERVAL) {
+            if !(all || changed || silent >= quiet) {
                 continue;
             }
             peer.told = now;
             peer.changes = changes;
             // Quotas change slowly next to loads.
-            if all || now.duration_since(peer.quotas) >= MAX_INTERVAL {
+            if all || now.duration_since(peer.quotas) >= quiet {
                 peer.quotas = now;
                 due.whole.push(peer.address);
             } else {
@@ -204,6 +208,12 @@
     }
 }
 
+/// Returns the pause between messages to each of some entries.
+fn pause(each: Duration, entries: usize) -> Duration {
+    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+    each.saturating_mul(entries).max(MIN_PAUSE)
+}
+
 fn codec() -> impl Options {
     bincode::DefaultOptions::new().with_limit(MAX_BYTES as u64)
 }
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -10,9 +10,9 @@
 use crate::rollout::Stage;
 use crate::target::Others;
 
-/// An entry that was not heard for this long is left out of the load of targets and counts as
-/// unheard. Four messages may be lost.
-const HEARD: Duration = Duration::from_millis(600);
+/// An entry that was not heard for this many of its pauses is left out of the load of targets and counts
+/// as unheard: three messages in a row may be lost.
+const HEARD_PAUSES: u32 = 4;
 /// An entry that was not heard for this long is gone. Partitions are shorter, mostly.
 const KNOWN: Duration = Duration::from_secs(30);
 
@@ -48,6 +48,8 @@
     pub sequence: u64,
     /// The version of its configuration.
     pub config: u64,
+    /// Milliseconds until the next message at the latest.
+    pub pause: u32,
     /// The sender's uptime when it sent the message, in milliseconds.
     pub sent: u64,
     /// The uptime of the sender for which its configuration was last known to be current, in
@@ -107,6 +109,7 @@
     sequence: u64,
     config: u64,
     heard: Instant,
+    pause: Duration,
     /// The least difference between the time of receipt and the time of sending, in milliseconds.
     offset: i64,
     used: HashMap<u32, u64>,
@@ -186,6 +189,7 @@
             sequence: gossip.sequence,
             config: gossip.config,
             heard: now,
+            pause: Duration::from_millis(u64::from(gossip.pause)),
             used,
             running: gossip.running,
         };
@@ -243,6 +247,6 @@
 
 impl Peer {
     fn is_heard(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.heard) < HEARD
+        now.saturating_duration_since(self.heard) < self.pause * HEARD_PAUSES
     }
 }
--- a/crates/ebonylug-dispatch/tests/limits.rs
+++ b/crates/ebonylug-dispatch/tests/limits.rs
@@ -182,6 +182,7 @@
         boot: 1,
         sequence,
         config: 7,
+        pause: 150,
         sent,
         confirmed: Some(confirmed),
         usage: vec![Usage {
@@ -247,6 +248,8 @@
     let start = Instant::now();
     let mut peers = Peers::default();
     peers.hear(start, Duration::from_secs(1), message(1, 0, 0));
+    let soon = start + Duration::from_millis(500);
+    assert_eq!(peers.standing(soon), Standing { heard: 2, known: 2 });
     let later = start + Duration::from_secs(5);
     assert_eq!(peers.standing(later), Standing { heard: 1, known: 2 });
     let leaving = Gossip {
