--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -230,13 +230,13 @@
     }
 
     /// Sets the availability zones that get nothing.
-    pub fn set_evacuated(&self, zones: HashSet<Name>) {
+    pub fn set_drained(&self, zones: HashSet<Name>) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        if state.scheduler.evacuated() != &zones {
+        if state.scheduler.drained() != &zones {
             tracing::info!(part = "targets", ?zones, "zones that get nothing");
         }
-        state.scheduler.set_evacuated(now, zones);
+        state.scheduler.set_drained(now, zones);
     }
 
     /// Sets the time that all entries agree on, at an uptime of this machine.
@@ -511,6 +511,12 @@
     scheduler.remove_target(name);
 }
 
+impl std::fmt::Debug for Entry {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Entry").finish_non_exhaustive()
+    }
+}
+
 /// Returns whole milliseconds, for logs and messages.
 pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -206,7 +206,7 @@
     };
     let tokens = match call.tokens(&entry.dialect) {
         Some((prompt, answer)) => (prompt + answer) as f64,
-        None => f64::from(organisation.plain_tokens),
+        None => f64::from(organisation.default_tokens),
     };
     let name = organisation.name.clone();
     entry
--- a/crates/ebonylug-direct/src/request.rs
+++ b/crates/ebonylug-direct/src/request.rs
@@ -53,12 +53,6 @@
     }
 }
 
-impl std::fmt::Debug for Entry {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Entry").finish_non_exhaustive()
-    }
-}
-
 pub(crate) type Result<T, E = Rejection> = std::result::Result<T, E>;
 
 /// The route and the organisation of a request, from its head.
@@ -246,7 +240,8 @@
         Some(ebonylug_dispatch::hash_of(id))
     }
 
-    /// Returns the rank: that of the route, or of the organisation if it has one.
+    /// Returns the rank, 0 for the most urgent. The rank of the route goes before that of the organisation:
+    /// all organisations send requests of all kinds, and what their callers lose depends on the kind.
     pub(crate) fn rank(&self) -> u8 {
         self.route.priority
     }
--- a/crates/ebonylug-direct/tests/common/mod.rs
+++ b/crates/ebonylug-direct/tests/common/mod.rs
@@ -93,7 +93,7 @@
             name: Name::new("ropeworks"),
             priority: None,
             quota,
-            plain_tokens: 100,
+            default_tokens: 100,
             keys: vec!["key-1".into()],
         }],
         limits: Limits {
--- a/crates/ebonylug-dispatch/src/config.rs
+++ b/crates/ebonylug-dispatch/src/config.rs
@@ -117,7 +117,7 @@
     /// The rate limit, if it has one.
     pub quota: Option<Quota>,
     /// Tokens that a request without a count uses.
-    pub plain_tokens: u32,
+    pub default_tokens: u32,
     /// The keys of its callers.
     pub keys: Vec<Box<str>>,
 }
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -109,7 +109,7 @@
     names: HashMap<Name, TargetKey>,
     services: HashMap<Name, Vec<TargetKey>>,
     cold_rates: HashMap<Name, (f64, Duration)>,
-    evacuated: HashSet<Name>,
+    drained: HashSet<Name>,
     waiting: Waiting,
     subjects: Subjects,
     entries: usize,
@@ -128,7 +128,7 @@
             names: HashMap::new(),
             services: HashMap::new(),
             cold_rates: HashMap::new(),
-            evacuated: HashSet::new(),
+            drained: HashSet::new(),
             waiting: Waiting::default(),
             subjects: Subjects::default(),
             entries: 1,
@@ -148,17 +148,17 @@
     }
 
     /// Sets the availability zones that get nothing.
-    pub fn set_evacuated(&mut self, now: Instant, zones: HashSet<Name>) {
+    pub fn set_drained(&mut self, now: Instant, zones: HashSet<Name>) {
         let back: SmallVec<[TargetKey; 8]> = self
             .targets
             .iter()
             .filter(|(_, known)| {
                 let zone = &known.info.zone;
-                self.evacuated.contains(zone) && !zones.contains(zone)
+                self.drained.contains(zone) && !zones.contains(zone)
             })
             .map(|(key, _)| key)
             .collect();
-        self.evacuated = zones;
+        self.drained = zones;
         for key in back {
             self.chill(now, key, None);
         }
@@ -393,8 +393,8 @@
 
     /// Returns the availability zones that get nothing.
     #[must_use]
-    pub fn evacuated(&self) -> &HashSet<Name> {
-        &self.evacuated
+    pub fn drained(&self) -> &HashSet<Name> {
+        &self.drained
     }
 
     fn sent(&mut self, now: Instant, key: TargetKey, ask: &Ask) {
@@ -413,7 +413,7 @@
 
     fn is_usable(&self, known: &Known, ask: &Ask) -> bool {
         known.info.state == TargetState::Serving
-            && !self.evacuated.contains(&known.info.zone)
+            && !self.drained.contains(&known.info.zone)
             && ask.versions.allow(&known.info.version)
             && known.info.service == ask.service
     }
--- a/crates/ebonylug-dispatch/tests/config.rs
+++ b/crates/ebonylug-dispatch/tests/config.rs
@@ -90,7 +90,7 @@
         name: Name::new(name),
         priority: None,
         quota: None,
-        plain_tokens: 1,
+        default_tokens: 1,
         keys: vec![key.into()],
     };
     let config = config(
--- a/crates/ebonylug-dispatch/tests/limits.rs
+++ b/crates/ebonylug-dispatch/tests/limits.rs
@@ -20,7 +20,7 @@
             rate: RATE,
             burst: BURST,
         }),
-        plain_tokens: 10,
+        default_tokens: 10,
         keys: Vec::new(),
     };
     Config::new(Draft {
--- a/crates/ebonylug-dispatch/tests/scheduler.rs
+++ b/crates/ebonylug-dispatch/tests/scheduler.rs
@@ -126,7 +126,7 @@
             scheduler.remove_target(&Name::new("engine-0"));
         }),
         ("zone taken out", |scheduler, now, _, _| {
-            scheduler.set_evacuated(now, HashSet::from([Name::new("zone-0")]));
+            scheduler.set_drained(now, HashSet::from([Name::new("zone-0")]));
         }),
         ("version barred", |_, _, ask, _| {
             ask.versions = Versions::Except("v1".into());
