Merge twins in the entry on the platform

Cause: a reading of the whole change found the same logic written twice: the accept loop, the number of a header, the count of a failed attempt, a row to put, the draw of a part, three look-ups of one peer. Change: one piece for each; a refusal reason that nothing makes is gone.

--- a/crates/ebonylug-direct/src/attempt.rs
+++ b/crates/ebonylug-direct/src/attempt.rs
@@ -12,7 +12,7 @@
 use crate::entry::Entry;
 use crate::grant::Grant;
 use crate::pool::{Error, Lease};
-use crate::request::Call;
+use crate::request::{Call, number};
 
 /// Bytes of an answer that is not a stream.
 const MAX_ANSWER: usize = 8 << 20;
@@ -103,7 +103,7 @@
         }
     };
     let (head, body) = response.into_parts();
-    if let Some(cold) = number(&head, &dialect.cold) {
+    if let Some(cold) = number(&head.headers, &dialect.cold) {
         entry.note_cold(target, Duration::from_millis(cold));
     }
     let echoed = head.headers.get(&dialect.request_id);
@@ -198,7 +198,3 @@
     }
     Ok(whole.freeze())
 }
-
-fn number(head: &Parts, name: &http::HeaderName) -> Option<u64> {
-    head.headers.get(name)?.to_str().ok()?.trim().parse().ok()
-}
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -310,25 +310,20 @@
         self.entry.count_request(&self.service);
         let mut failed = None;
         loop {
-            let next = self.attempt().await;
-            match next {
+            match self.attempt().await {
                 // A target's failure is the answer if no other target gives one.
                 Ok(Begun::Whole(head, body)) if self.is_worth_another(&head) => {
-                    let cause = Failure::Failed(head.status);
-                    failed = Some(Begun::Whole(head, body));
-                    self.note(&cause);
+                    self.note(&Failure::Failed(head.status));
+                    let answer = Begun::Whole(head, body);
                     if !self.may_repeat() {
-                        break;
+                        return Ok(answer);
                     }
+                    failed = Some(answer);
                 }
                 Ok(begun) => return Ok(begun),
-                Err(rejection) => match failed {
-                    Some(_) => break,
-                    None => return Err(rejection),
-                },
+                Err(rejection) => return failed.ok_or(rejection),
             }
         }
-        failed.ok_or_else(bad_gateway)
     }
 
     /// Sends to targets until one gives a whole answer or begins a stream.
@@ -387,8 +382,8 @@
         );
     }
 
-    /// Decides what follows a failed attempt: `Ok` for another one, or the final answer.
-    fn after(&mut self, failure: &Failure) -> request::Result<()> {
+    /// Logs and counts a failed attempt, and what it means for further ones.
+    fn fail(&mut self, failure: &Failure) {
         self.note(failure);
         self.sent += u32::from(!matches!(failure, Failure::Unsent(_)));
         if failure.may_have_run() {
@@ -396,6 +391,11 @@
         } else {
             self.unrun += 1;
         }
+    }
+
+    /// Decides what follows a failed attempt: `Ok` for another one, or the final answer.
+    fn after(&mut self, failure: &Failure) -> request::Result<()> {
+        self.fail(failure);
         let again = match failure {
             Failure::Late | Failure::Failed(_) => false,
             Failure::Unknown(_) => self.call.route.kind.is_idempotent() && self.may_repeat(),
@@ -457,8 +457,7 @@
                 Ok(opened) => Failure::Failed(opened.head.status),
                 Err(failure) => failure,
             };
-            self.sent += u32::from(!matches!(failure, Failure::Unsent(_)));
-            self.note(&failure);
+            self.fail(&failure);
         }
         None
     }
--- a/crates/ebonylug-direct/src/request.rs
+++ b/crates/ebonylug-direct/src/request.rs
@@ -214,7 +214,8 @@
     passed
 }
 
-fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+/// Returns the number that a header holds.
+pub(crate) fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
--- a/crates/ebonylug-direct/src/server.rs
+++ b/crates/ebonylug-direct/src/server.rs
@@ -51,14 +51,19 @@
 /// Serves callers until `stop` says that the listener is to be closed.
 pub async fn serve(entry: Rc<Entry>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
             _ = stop.wait_for(|&closed| closed) => return,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(Rc::clone(&entry), stream, stop.clone()));
-            }
+        tokio::task::spawn_local(connection(Rc::clone(&entry), stream, stop.clone()));
+    }
+}
+
+/// Waits for the next connection.
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
             Err(error) => {
                 tracing::warn!(part = "server", %error, "cannot accept a connection");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -123,14 +128,7 @@
     Fut: Future<Output = Served> + 'static,
 {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(part = "server", %error, "cannot accept a connection");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         let handle = handle.clone();
         tokio::task::spawn_local(async move {
             let connection = http1::Builder::new()
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -143,46 +143,38 @@
             self.peers.remove(&entry);
             return None;
         }
-        let mut news = News::default();
-        let known = self
-            .peers
-            .get(&entry)
-            .filter(|peer| peer.boot == gossip.boot);
-        match known {
-            Some(peer) if peer.sequence >= gossip.sequence => return None,
-            Some(peer) => {
-                for usage in &gossip.usage {
-                    let before = peer.used.get(&usage.organisation).copied().unwrap_or(0);
-                    let used = usage.used as f64 - before as f64;
-                    news.used.push((usage.organisation, used));
-                }
-            }
-            None => news.joined = true,
+        let known = self.peers.get_mut(&entry);
+        let known = known.filter(|peer| peer.boot == gossip.boot);
+        if known
+            .as_ref()
+            .is_some_and(|peer| peer.sequence >= gossip.sequence)
+        {
+            return None;
         }
-        let before = self
-            .peers
-            .get(&entry)
-            .filter(|peer| peer.boot == gossip.boot);
         let difference = millis(uptime) - i64::try_from(gossip.sent).unwrap_or(0);
-        let offset = before.map_or(difference, |peer| peer.offset.min(difference));
-        news.confirmed = gossip.confirmed.map(|time| {
-            let local = i64::try_from(time)
-                .unwrap_or(0)
-                .saturating_add(offset)
-                .max(0);
-            (gossip.config, Duration::from_millis(local.unsigned_abs()))
-        });
-        let known = self
-            .peers
-            .remove(&entry)
-            .filter(|peer| peer.boot == gossip.boot);
-        let mut used = known.map_or_else(HashMap::new, |peer| peer.used);
-        used.extend(
-            gossip
-                .usage
-                .iter()
-                .map(|usage| (usage.organisation, usage.used)),
-        );
+        let offset = known
+            .as_ref()
+            .map_or(difference, |peer| peer.offset.min(difference));
+        let mut news = News {
+            joined: known.is_none(),
+            confirmed: gossip.confirmed.map(|time| {
+                let time = i64::try_from(time).unwrap_or(0);
+                let local = time.saturating_add(offset).max(0);
+                (gossip.config, Duration::from_millis(local.unsigned_abs()))
+            }),
+            ..News::default()
+        };
+        let mut used = known
+            .map(|peer| std::mem::take(&mut peer.used))
+            .unwrap_or_default();
+        for usage in &gossip.usage {
+            let before = used.insert(usage.organisation, usage.used);
+            if !news.joined {
+                let before = before.unwrap_or(0);
+                news.used
+                    .push((usage.organisation, usage.used as f64 - before as f64));
+            }
+        }
         let peer = Peer {
             offset,
             boot: gossip.boot,
--- a/crates/ebonylug-dispatch/src/hash.rs
+++ b/crates/ebonylug-dispatch/src/hash.rs
@@ -14,6 +14,11 @@
     (hash >> 32) as u32
 }
 
+/// Turns a hash into a number from 0 to 1.
+pub(crate) fn unit(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 /// Mixes two hashes, for rendezvous hashing.
 pub(crate) fn mix(a: u64, b: u64) -> u64 {
     // The finalizer of SplitMix64.
--- a/crates/ebonylug-dispatch/src/refusal.rs
+++ b/crates/ebonylug-dispatch/src/refusal.rs
@@ -17,8 +17,6 @@
     Memory,
     /// A target proved that it did not run the request, and no further send is allowed.
     Rejected,
-    /// The time limit passed while the request waited.
-    Deadline,
 }
 
 impl Reason {
@@ -33,7 +31,6 @@
             Reason::Stale => "stale_config",
             Reason::Memory => "memory",
             Reason::Rejected => "rejected",
-            Reason::Deadline => "deadline",
         }
     }
 }
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -7,7 +7,7 @@
 
 use crate::cold::ColdRate;
 use crate::gossip::{PACE_UNIT, Running};
-use crate::hash::{hash_of, mix, short};
+use crate::hash::{hash_of, mix, short, unit};
 use crate::health::{Change, Health, Outcome};
 use crate::refusal::{Reason, Refusal};
 use crate::rollout::Versions;
@@ -237,7 +237,7 @@
         match &mut known.cold {
             Some(cold) if cold.until() > now => cold.extend(until),
             cold => {
-                let phase = (mix(known.hash, self.draws) >> 11) as f64 / (1_u64 << 53) as f64;
+                let phase = unit(mix(known.hash, self.draws));
                 *cold = ColdRate::new(now, until, rate, self.entries, phase);
             }
         }
@@ -522,10 +522,9 @@
     fn refusal(&mut self, reason: Reason, after: Duration) -> Refusal {
         // Spreads returns over one and a half times the time.
         self.draws = mix(self.draws, 1).wrapping_add(1);
-        let part = (self.draws >> 11) as f64 / (1_u64 << 53) as f64;
         Refusal {
             reason,
-            after: after.mul_f64(0.5 + 1.5 * part),
+            after: after.mul_f64(0.5 + 1.5 * unit(self.draws)),
         }
     }
 }
