Share the checks of settings and the opening of listeners

Cause: entry and sidecar had the same type of an invalid setting, the same check of ranges, the same reading of seconds and the same opening of a listener. Change: ebonylug-net::settings and ebonylug-net::serve have them once. Messages stay as they are.

--- a/crates/ebonylug-entry/src/lib.rs
+++ b/crates/ebonylug-entry/src/lib.rs
@@ -44,7 +44,7 @@
 use ebonylug_core::{Clock, Incarnation, Revision};
 use ebonylug_events::Origin;
 use ebonylug_net::record::Recorder;
-use ebonylug_net::serve::Server;
+use ebonylug_net::serve::{self, Server};
 use ebonylug_net::stop::{Phase, Stop};
 use ebonylug_net::tasks::Tasks;
 use ebonylug_platform::{HttpPlatform, InstanceList, InstanceRow, InstanceState};
@@ -59,7 +59,8 @@
 use crate::peers::Peers;
 use crate::view::Current;
 
-pub use settings::{Invalid, Operator, Role, Settings};
+pub use ebonylug_net::settings::Invalid;
+pub use settings::{Operator, Role, Settings};
 
 /// The shortest interval at which the instance list is read.
 const LIST_INTERVAL: Duration = Duration::from_secs(2);
@@ -288,12 +289,7 @@
 }
 
 fn bind(address: SocketAddr) -> Result<TcpListener> {
-    let bind = || {
-        let listener = TcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
-        Ok(listener)
-    };
-    bind().map_err(|source| listen_error(address, source))
+    serve::bind(address).map_err(|source| listen_error(address, source))
 }
 
 fn listen_error(address: SocketAddr, source: std::io::Error) -> Error {
--- a/crates/ebonylug-entry/src/settings.rs
+++ b/crates/ebonylug-entry/src/settings.rs
@@ -1,10 +1,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::{Deserialize, Deserializer};
+use serde::Deserialize;
 
 use ebonylug_core::Name;
 use ebonylug_net::key::SharedKey;
+use ebonylug_net::settings::{self, Invalid};
 use ebonylug_resource::TokenHash;
 
 /// The settings file of an entry.
@@ -33,13 +34,13 @@
     #[serde(default = "default_subset")]
     pub subset: usize,
     /// The balancer's lag: how long a stopping process still accepts connections.
-    #[serde(default = "default_lag", deserialize_with = "seconds")]
+    #[serde(default = "default_lag", deserialize_with = "settings::seconds")]
     pub lag: Duration,
     /// Bound on the time that a stopping process waits for its work.
-    #[serde(default = "default_bound", deserialize_with = "seconds")]
+    #[serde(default = "default_bound", deserialize_with = "settings::seconds")]
     pub bound: Duration,
     /// Time without progress after which a caller that does not read is given up.
-    #[serde(default = "default_stall", deserialize_with = "seconds")]
+    #[serde(default = "default_stall", deserialize_with = "settings::seconds")]
     pub stall: Duration,
     /// Threads that serve HTTP.
     #[serde(default = "default_workers")]
@@ -88,16 +89,6 @@
     2
 }
 
-/// A setting that is out of range.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{field}: {reason}")]
-pub struct Invalid {
-    /// The name of the setting.
-    pub field: &'static str,
-    /// What is wrong with it.
-    pub reason: &'static str,
-}
-
 impl Settings {
     /// Checks ranges that the types do not express.
     ///
@@ -105,7 +96,7 @@
     ///
     /// Names the first setting that is out of range.
     pub fn check(&self) -> Result<(), Invalid> {
-        let checks = [
+        settings::check(&[
             (self.subset > 0, "subset", "must be above 0"),
             (self.workers > 0, "workers", "must be above 0"),
             (!self.stall.is_zero(), "stall", "must be above 0"),
@@ -114,16 +105,6 @@
                 "operators",
                 "must name at least one operator",
             ),
-        ];
-        match checks.iter().find(|(valid, ..)| !valid) {
-            None => Ok(()),
-            Some(&(_, field, reason)) => Err(Invalid { field, reason }),
-        }
+        ])
     }
 }
-
-fn seconds<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
-    use serde::de::Error;
-    let seconds = f64::deserialize(deserializer)?;
-    Duration::try_from_secs_f64(seconds).map_err(D::Error::custom)
-}
--- a/crates/ebonylug-net/src/serve.rs
+++ b/crates/ebonylug-net/src/serve.rs
@@ -26,6 +26,17 @@
 const MAX_HEADERS: usize = 64;
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Opens a listener for a runtime.
+///
+/// # Errors
+///
+/// Fails if the address cannot be used.
+pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
 /// A running server. Dropping it closes the listener and the connections.
 #[derive(Debug)]
 pub struct Server {
--- a/crates/ebonylug-net/src/settings.rs
+++ b/crates/ebonylug-net/src/settings.rs
@@ -1,8 +1,10 @@
 //! Loads settings files in JSON with comments.
 
 use std::path::Path;
+use std::time::Duration;
 
-use serde::de::DeserializeOwned;
+use serde::de::{DeserializeOwned, Error as _};
+use serde::{Deserialize, Deserializer};
 
 /// A settings file that cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -72,3 +74,37 @@
         }
     })
 }
+
+/// A setting that is out of range.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{field}: {reason}")]
+pub struct Invalid {
+    /// The name of the setting.
+    pub field: &'static str,
+    /// What is wrong with it.
+    pub reason: &'static str,
+}
+
+/// Checks ranges that types do not express: whether each holds, the setting, and what it must be.
+///
+/// # Errors
+///
+/// Names the first setting that is out of range.
+pub fn check(ranges: &[(bool, &'static str, &'static str)]) -> std::result::Result<(), Invalid> {
+    match ranges.iter().find(|(valid, ..)| !valid) {
+        None => Ok(()),
+        Some(&(_, field, reason)) => Err(Invalid { field, reason }),
+    }
+}
+
+/// Reads a time in seconds, which may have fractions.
+///
+/// # Errors
+///
+/// Fails if it is not a number, or is negative.
+pub fn seconds<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> std::result::Result<Duration, D::Error> {
+    let seconds = f64::deserialize(deserializer)?;
+    Duration::try_from_secs_f64(seconds).map_err(D::Error::custom)
+}
--- a/crates/ebonylug-sidecar/src/lib.rs
+++ b/crates/ebonylug-sidecar/src/lib.rs
@@ -29,12 +29,13 @@
 use ebonylug_core::{Clock, End, EngineReport, Incarnation, Reason, Refusal, Tokens};
 use ebonylug_events::Origin;
 use ebonylug_net::client::Client;
-use ebonylug_net::serve::Server;
+use ebonylug_net::serve::{self, Server};
 use ebonylug_net::stop::Stop;
 use ebonylug_net::tasks::Tasks;
 use ebonylug_net::wire::Refused;
 
-pub use settings::{Invalid, Kind, Settings};
+pub use ebonylug_net::settings::Invalid;
+pub use settings::{Kind, Settings};
 
 use crate::core::{Attempt, Core};
 use crate::instruments::Instruments;
@@ -231,12 +232,7 @@
 }
 
 fn bind(address: SocketAddr) -> Result<TcpListener> {
-    let bind = || {
-        let listener = TcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
-        Ok(listener)
-    };
-    bind().map_err(|source| listen_error(address, source))
+    serve::bind(address).map_err(|source| listen_error(address, source))
 }
 
 fn listen_error(address: SocketAddr, source: std::io::Error) -> Error {
--- a/crates/ebonylug-sidecar/src/settings.rs
+++ b/crates/ebonylug-sidecar/src/settings.rs
@@ -5,6 +5,7 @@
 
 use ebonylug_core::Name;
 use ebonylug_net::key::SharedKey;
+use ebonylug_net::settings::{self, Invalid};
 
 /// What stands beside the sidecar.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,13 +47,13 @@
     #[serde(default = "default_ceiling")]
     pub ceiling: u64,
     /// Time without a byte from the target after which the connection counts as silent.
-    #[serde(default = "default_silence", with = "seconds")]
+    #[serde(default = "default_silence", deserialize_with = "settings::seconds")]
     pub silence: Duration,
     /// The balancer's lag: how long a stopping process still accepts connections.
-    #[serde(default = "default_lag", with = "seconds")]
+    #[serde(default = "default_lag", deserialize_with = "settings::seconds")]
     pub lag: Duration,
     /// Bound on the time that a stopping process waits for its work.
-    #[serde(default = "default_bound", with = "seconds")]
+    #[serde(default = "default_bound", deserialize_with = "settings::seconds")]
     pub bound: Duration,
     /// Threads that serve HTTP.
     #[serde(default = "default_workers")]
@@ -87,16 +88,6 @@
     1
 }
 
-/// A setting that is out of range.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{field}: {reason}")]
-pub struct Invalid {
-    /// The name of the setting.
-    pub field: &'static str,
-    /// What is wrong with it.
-    pub reason: &'static str,
-}
-
 impl Settings {
     /// Checks ranges that the types do not express.
     ///
@@ -104,7 +95,7 @@
     ///
     /// Names the first setting that is out of range.
     pub fn check(&self) -> Result<(), Invalid> {
-        let checks = [
+        settings::check(&[
             (self.cold_limit > 0, "coldLimit", "must be above 0"),
             (self.cold_attempts > 0, "coldAttempts", "must be above 0"),
             (
@@ -114,21 +105,6 @@
             ),
             (!self.silence.is_zero(), "silence", "must be above 0"),
             (self.workers > 0, "workers", "must be above 0"),
-        ];
-        match checks.iter().find(|(valid, ..)| !valid) {
-            None => Ok(()),
-            Some(&(_, field, reason)) => Err(Invalid { field, reason }),
-        }
-    }
-}
-
-mod seconds {
-    use std::time::Duration;
-
-    use serde::{Deserialize, Deserializer, de::Error};
-
-    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
-        let seconds = f64::deserialize(deserializer)?;
-        Duration::try_from_secs_f64(seconds).map_err(D::Error::custom)
+        ])
     }
 }
