Sum what the other entries tell when a decision needs it, and tick in one place

Change: a message marks the sums as old, and the next decision makes them; Entry::tick does what is due after some time. The scheduler decides by the same sums.

--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -64,10 +64,26 @@
     rng: ChaCha8Rng,
     sequence: u64,
     targets_known: bool,
+    /// Whether the scheduler does not have what the other entries have told last.
+    others_old: bool,
     pub(crate) moves: Moves,
 }
 
 impl State {
+    /// Notes that what the other entries have told has changed.
+    fn peers_changed(&mut self, now: Instant) {
+        self.others_old = true;
+        self.scheduler.set_entries(self.peers.standing(now).known);
+    }
+
+    /// Tells the scheduler what the other entries have told. Only decisions about targets need it, and
+    /// there are fewer of them than messages.
+    fn refresh(&mut self, now: Instant) {
+        if std::mem::take(&mut self.others_old) {
+            self.scheduler.set_others(&self.peers.running(now));
+        }
+    }
+
     /// Sets the versions that may serve a request. If no target of a version in a move can, others may.
     fn with_versions(&mut self, mut ask: Ask) -> Ask {
         let again = !ask.tried.is_empty();
@@ -106,6 +122,7 @@
             rng,
             sequence: 0,
             targets_known: false,
+            others_old: false,
             moves: Moves::new(Incarnation(boot)),
         };
         let started = clock.now();
@@ -322,6 +339,7 @@
         let prompt = ask.prompt;
         let asked = {
             let mut state = self.state.borrow_mut();
+            state.refresh(now);
             let ask = state.with_versions(ask);
             state.scheduler.ask(now, ask)
         };
@@ -383,6 +401,7 @@
         if state.scheduler.waiting() == 0 {
             return;
         }
+        state.refresh(now);
         let mut ready = Vec::new();
         for (key, decision) in state.scheduler.poll(now) {
             ready.push((state.waiters.remove(&key), decision));
@@ -455,7 +474,7 @@
         for (organisation, tokens) in news.used {
             state.quotas.used_elsewhere(organisation, tokens);
         }
-        self.refresh_peers(&mut state);
+        state.peers_changed(now);
         drop(state);
         self.pump();
         news.joined
@@ -466,23 +485,19 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         state.peers.list(now, name);
-        self.refresh_peers(&mut state);
+        state.peers_changed(now);
     }
 
-    /// Forgets entries that were not heard for long.
-    pub(crate) fn expire_peers(&self) {
+    /// Does what is due after some time: forgets entries and connections, and decides about requests that
+    /// wait.
+    pub fn tick(self: &Rc<Self>) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         state.peers.expire(now);
-        self.refresh_peers(&mut state);
-    }
-
-    fn refresh_peers(&self, state: &mut State) {
-        let now = self.clock.now();
-        let running = state.peers.running(now);
-        state.scheduler.set_others(&running);
-        let entries = state.peers.standing(now).known;
-        state.scheduler.set_entries(entries);
+        state.peers_changed(now);
+        drop(state);
+        self.pool.expire();
+        self.pump();
     }
 }
 
--- a/crates/ebonylug-direct/src/peers.rs
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -86,8 +86,6 @@
     pub async fn send(self: Rc<Self>) {
         loop {
             tokio::time::sleep(MIN_PAUSE).await;
-            self.entry.expire_peers();
-            self.entry.pool.expire();
             self.tell(false).await;
         }
     }
