Pass tables on to entries that the store turns away, and apply settings that change

Cause: an entry that the store turned away knew from the others that a newer configuration existed, but could not get it. It refused keyed requests until the store took its calls again, kept engines that had left, and an entry that started then knew no configuration and no other entry. Settings that changed were only noted in the log.

Ruled out: sending tables in datagrams (they are larger than one), and asking the store more often (it turns the entry away).

Change: each entry keeps the tables as the store told them, with the store's version, and serves them over TCP at the address of its datagrams. A follower whose read fails takes a newer copy. A copy proves no time: whether keys are accepted still depends on what the messages confirm. An entry that starts greets the seeds. The bound on retries is one type now.

--- a/crates/ebonylug-direct/src/answer.rs
+++ b/crates/ebonylug-direct/src/answer.rs
@@ -77,8 +77,8 @@
     answer
 }
 
-/// Makes a page of text.
-pub(crate) fn text(page: String) -> Answer {
+/// Makes a success of the entry's own.
+pub(crate) fn page(page: impl Into<Bytes>) -> Answer {
     let mut answer = own(StatusCode::OK, "");
     *answer.body_mut() = Either::Left(Full::new(page.into()));
     answer
--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -7,7 +7,7 @@
 use ebonylug_core::{Clock, Incarnation, Name};
 use ebonylug_dispatch::{
     Ask, Asked, Config, Decision, Freshness, Gossip, Peers, Quotas, Reason, Refusal, RetryBudget,
-    Scheduler, Target, TargetKey, Versions, WaitKey,
+    RetryRule, Scheduler, Target, TargetKey, Versions, WaitKey,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -27,10 +27,17 @@
     pub name: Name,
     /// Its availability zone.
     pub zone: Name,
+    /// What may change while the entry runs.
+    pub bounds: Bounds,
+}
+
+/// The settings that may change while an entry runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
     /// How old the configuration may be for keys to be accepted.
     pub key_age: Duration,
-    /// Retries: the share of requests, the constant over all entries, and the window.
-    pub retries: (f64, f64, Duration),
+    /// The bound on repeated sends over all entries.
+    pub retries: RetryRule,
     /// Time from the signal to stop until the process must have ended.
     pub grace: Duration,
     /// Bytes of request bodies that are held at once.
@@ -39,7 +46,9 @@
 
 /// The state of an entry. All of it is used by one thread.
 pub struct Entry {
-    pub(crate) settings: Settings,
+    pub(crate) name: Name,
+    pub(crate) zone: Name,
+    pub(crate) bounds: Cell<Bounds>,
     pub(crate) dialect: Dialect,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) uptime: Box<dyn Uptime>,
@@ -116,7 +125,7 @@
             scheduler,
             quotas: Quotas::default(),
             budgets: HashMap::new(),
-            freshness: Freshness::new(settings.key_age),
+            freshness: Freshness::new(settings.bounds.key_age),
             peers: Peers::default(),
             waiters: HashMap::new(),
             rng,
@@ -128,7 +137,9 @@
         let started = clock.now();
         Rc::new(Entry {
             started,
-            settings,
+            name: settings.name,
+            zone: settings.zone,
+            bounds: Cell::new(settings.bounds),
             dialect,
             clock,
             uptime,
@@ -142,6 +153,12 @@
         })
     }
 
+    /// Returns the name of this entry.
+    #[must_use]
+    pub fn name(&self) -> &Name {
+        &self.name
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn config(&self) -> Option<Rc<Config>> {
@@ -172,6 +189,17 @@
         state.config = Some(Rc::new(config));
     }
 
+    /// Changes the settings that may change while the entry runs.
+    pub fn set_bounds(&self, bounds: Bounds) {
+        if bounds == self.bounds.get() {
+            return;
+        }
+        tracing::info!(part = "server", ?bounds, before = ?self.bounds.get(), "bounds changed");
+        self.bounds.set(bounds);
+        let mut state = self.state.borrow_mut();
+        state.freshness.set_bound(bounds.key_age);
+    }
+
     /// Notes that the configuration in force was current at `time` of the uptime clock.
     pub fn confirm(&self, time: Duration) {
         self.state.borrow_mut().freshness.confirm(time);
@@ -322,14 +350,14 @@
     }
 
     fn with_budget<T>(&self, service: &Name, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let (ratio, constant, window) = self.settings.retries;
         let mut state = self.state.borrow_mut();
-        let entries = state.peers.standing(self.clock.now()).known as f64;
+        let entries = state.peers.standing(self.clock.now()).known;
+        let rule = self.bounds.get().retries.part(entries);
         let budget = state
             .budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(ratio, constant, window));
-        budget.set_constant(constant / entries);
+            .or_insert_with(|| RetryBudget::new(rule));
+        budget.set_rule(rule);
         f(budget)
     }
 
@@ -438,8 +466,8 @@
         let running = state.scheduler.own(self.clock.now()).collect();
         let (moves, evidence) = state.moves.news(self.uptime.uptime());
         Gossip {
-            entry: self.settings.name.as_str().into(),
-            zone: self.settings.zone.as_str().into(),
+            entry: self.name.as_str().into(),
+            zone: self.zone.as_str().into(),
             boot: self.boot,
             sequence: state.sequence,
             config: state.config.as_ref().map_or(0, |config| config.version),
@@ -480,6 +508,18 @@
         news.joined
     }
 
+    /// Returns the number of entries that are heard, with this one.
+    #[must_use]
+    pub fn heard(&self) -> usize {
+        let now = self.clock.now();
+        self.state.borrow().peers.standing(now).heard
+    }
+
+    /// Returns the entries that are heard, those whose configuration was confirmed last first.
+    pub(crate) fn sources(&self) -> Vec<Name> {
+        self.state.borrow().peers.sources(self.clock.now())
+    }
+
     /// Notes an entry that the platform's table lists.
     pub(crate) fn list_peer(&self, name: Name) {
         let now = self.clock.now();
--- a/crates/ebonylug-direct/src/follow.rs
+++ b/crates/ebonylug-direct/src/follow.rs
@@ -1,17 +1,21 @@
 //! Follows a table of the platform: reads it whole, then waits for changes.
 
+use std::cell::Cell;
 use std::future::Future;
+use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ebonylug_core::Clock;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
 
+use crate::entry::millis;
 use crate::uptime::Uptime;
 
 /// A row of a table, as a feed tells it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// The key.
     pub key: Box<str>,
@@ -20,7 +24,7 @@
 }
 
 /// Rows as of one version of the table.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rows {
     /// The rows, or the changes.
     pub rows: Vec<Row>,
@@ -53,6 +57,24 @@
     fn changes(&self, after: u64, wait: Duration) -> impl Future<Output = Result<Rows>>;
 }
 
+/// The copies of tables that other entries have. They serve while the store turns this entry away.
+pub trait Backup {
+    /// Keeps what the store has told, for other entries.
+    fn keep(&self, table: &'static str, told: &Told, version: u64);
+
+    /// Returns all rows of a copy that is newer than a version, if another entry has one.
+    fn newer(&self, table: &'static str, after: u64) -> impl Future<Output = Option<Rows>>;
+}
+
+/// No copies.
+impl Backup for () {
+    fn keep(&self, _: &'static str, _: &Told, _: u64) {}
+
+    async fn newer(&self, _: &'static str, _: u64) -> Option<Rows> {
+        None
+    }
+}
+
 /// When an answer was made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Made {
@@ -118,13 +140,15 @@
 }
 
 /// Follows a table.
-pub struct Follower<F> {
+pub struct Follower<F, B = ()> {
     /// The name of the table, for logs.
     pub name: &'static str,
     /// Where rows come from.
     pub feed: F,
+    /// Where rows come from while the feed fails.
+    pub backup: B,
     /// How long reads wait.
-    pub pace: Pace,
+    pub pace: Rc<Cell<Pace>>,
     /// Measures outages.
     pub clock: Arc<dyn Clock>,
     /// Tells when rows were current.
@@ -133,32 +157,31 @@
     pub count: Box<dyn Fn(&'static str)>,
 }
 
-impl<F: Feed> Follower<F> {
-    /// Follows the table for ever. `tell` gets rows, with the time for which they are current;
-    /// `age` returns the age of what is known from here or elsewhere.
+/// What a follower knows of its table and of the way to it.
+#[derive(Debug, Default)]
+struct Progress {
+    version: Option<u64>,
+    failures: u32,
+    lost: Option<Instant>,
+    store: StoreClock,
+}
+
+impl<F: Feed, B: Backup> Follower<F, B> {
+    /// Follows the table for ever. `tell` gets rows, with the time for which they are current unless they
+    /// are a copy of another entry; `age` returns the age of what is known from here or elsewhere.
     pub async fn run(
         self,
         seed: u64,
         age: impl Fn() -> Option<Duration>,
-        mut tell: impl FnMut(Told, Made),
+        mut tell: impl FnMut(Told, Option<Made>),
     ) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut store = StoreClock::default();
-        let mut version = None;
-        let mut failures = 0_u32;
-        let mut lost = None;
+        let mut progress = Progress::default();
         loop {
-            let wait = self.pace.wait.mul_f64(rng.random_range(0.5..1.0));
-            let read = match version {
-                None => self
-                    .feed
-                    .list()
-                    .await
-                    .map(|rows| (Told::All as fn(_) -> _, rows)),
-                Some(after) => {
-                    let changes = self.changes(after, wait, &age).await;
-                    changes.map(|rows| (Told::Changed as fn(_) -> _, rows))
-                }
+            let wait = self.pace.get().wait.mul_f64(rng.random_range(0.5..1.0));
+            let read = match progress.version {
+                None => self.feed.list().await,
+                Some(after) => self.changes(after, wait, &age).await,
             };
             (self.count)(match &read {
                 Ok(_) => "answered",
@@ -166,26 +189,10 @@
                 Err(Error::Failed(_)) => "failed",
             });
             match read {
-                Ok((told, rows)) => {
-                    if let Some(since) = lost.take() {
-                        let outage = self.clock.now().saturating_duration_since(since);
-                        let outage_ms = outage.as_millis() as u64;
-                        tracing::info!(
-                            part = "store",
-                            table = self.name,
-                            outage_ms,
-                            "store answers again"
-                        );
-                    }
-                    failures = 0;
-                    version = Some(rows.version.max(version.unwrap_or(0)));
-                    let made = store.note(rows.clock, self.uptime.uptime());
-                    let made = Made {
-                        uptime: made,
-                        store: rows.clock,
-                    };
-                    tell(told(rows.rows), made);
-                    tokio::time::sleep(self.pace.pause).await;
+                Ok(rows) => {
+                    let (told, made) = self.answered(&mut progress, rows);
+                    tell(told, Some(made));
+                    tokio::time::sleep(self.pace.get().pause).await;
                 }
                 Err(Error::Compacted) => {
                     tracing::info!(
@@ -193,21 +200,78 @@
                         table = self.name,
                         "history is gone; reading all"
                     );
-                    version = None;
+                    progress.version = None;
                 }
                 Err(Error::Failed(error)) => {
-                    if lost.is_none() {
-                        lost = Some(self.clock.now());
-                        tracing::warn!(part = "store", table = self.name, %error, "store does not answer");
+                    let pause = self.failed(&mut progress, &error);
+                    if let Some(told) = self.copy(&mut progress).await {
+                        tell(told, None);
                     }
-                    let pause = (PAUSE * (1 << failures.min(4))).min(MAX_PAUSE);
-                    failures += 1;
                     tokio::time::sleep(pause.mul_f64(rng.random_range(0.5..1.0))).await;
                 }
             }
         }
     }
 
+    /// Notes an answer of the store.
+    fn answered(&self, progress: &mut Progress, rows: Rows) -> (Told, Made) {
+        if let Some(since) = progress.lost.take() {
+            let outage = self.clock.now().saturating_duration_since(since);
+            let outage_ms = millis(outage);
+            tracing::info!(
+                part = "store",
+                table = self.name,
+                outage_ms,
+                "store answers again"
+            );
+        }
+        progress.failures = 0;
+        let made = Made {
+            uptime: progress.store.note(rows.clock, self.uptime.uptime()),
+            store: rows.clock,
+        };
+        let told = match progress.version {
+            None => Told::All(rows.rows),
+            Some(_) => Told::Changed(rows.rows),
+        };
+        let version = rows.version.max(progress.version.unwrap_or(0));
+        progress.version = Some(version);
+        self.backup.keep(self.name, &told, version);
+        (told, made)
+    }
+
+    /// Notes a read that failed, and returns the pause until the next one.
+    fn failed(&self, progress: &mut Progress, error: &str) -> Duration {
+        if progress.lost.is_none() {
+            progress.lost = Some(self.clock.now());
+            tracing::warn!(part = "store", table = self.name, %error, "store does not answer");
+        }
+        let pause = (PAUSE * (1 << progress.failures.min(4))).min(MAX_PAUSE);
+        progress.failures += 1;
+        pause
+    }
+
+    /// Takes a newer copy of another entry, if there is one. The table is then followed from its version.
+    async fn copy(&self, progress: &mut Progress) -> Option<Told> {
+        let known = progress.version.unwrap_or(0);
+        let rows = self.backup.newer(self.name, known).await?;
+        if rows.version <= known {
+            return None;
+        }
+        tracing::info!(
+            part = "store",
+            table = self.name,
+            version = rows.version,
+            before = known,
+            rows = rows.rows.len(),
+            "took the copy of another entry"
+        );
+        progress.version = Some(rows.version);
+        let told = Told::All(rows.rows);
+        self.backup.keep(self.name, &told, rows.version);
+        Some(told)
+    }
+
     /// Waits for changes, but not longer than what is known may age.
     async fn changes(
         &self,
@@ -215,7 +279,7 @@
         wait: Duration,
         age: impl Fn() -> Option<Duration>,
     ) -> Result<Rows> {
-        let Some(max_age) = self.pace.max_age else {
+        let Some(max_age) = self.pace.get().max_age else {
             return self.feed.changes(after, wait).await;
         };
         // Before anything is known, nothing can be too old.
--- a/crates/ebonylug-direct/src/lib.rs
+++ b/crates/ebonylug-direct/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`Entry`]: the state of an entry, told of configurations and targets by [`follow`].
 //! - [`server`]: listens to callers and to the balancer, and stops as planned.
 //! - [`peers`]: exchanges loads and quotas with the other entries.
+//! - [`copies`]: passes tables on to entries that the store turns away.
 //! - [`Dialect`]: the header names of a deployment.
 //!
 //! # One thread
@@ -21,6 +22,7 @@
 
 mod answer;
 mod attempt;
+pub mod copies;
 mod dialect;
 mod entry;
 mod events;
@@ -37,7 +39,7 @@
 mod uptime;
 
 pub use dialect::Dialect;
-pub use entry::{Entry, Settings};
+pub use entry::{Bounds, Entry, Settings};
 pub use events::Splitter;
 pub use moves::{Order, Report};
 pub use uptime::{SystemUptime, Uptime};
--- a/crates/ebonylug-direct/src/peers.rs
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -24,6 +24,8 @@
 const FAR_PAUSE: Duration = Duration::from_millis(5);
 /// Time between two messages while nothing changes, unless the pauses above are longer.
 const QUIET_PAUSE: Duration = Duration::from_millis(150);
+/// Time between two messages to addresses at which nobody was heard yet.
+const GREET_PAUSE: Duration = Duration::from_millis(300);
 /// Bytes of a datagram.
 const MAX_BYTES: usize = 60_000;
 
@@ -71,9 +73,18 @@
         }))
     }
 
+    /// Returns the address of the socket.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system does not tell it.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
     /// Adds another entry that the platform's table lists.
     pub fn add(&self, name: Name, address: SocketAddr) {
-        if name == self.entry.settings.name {
+        if name == self.entry.name {
             return;
         }
         self.entry.list_peer(name.clone());
@@ -82,6 +93,36 @@
             .insert(name, Peer::new(address, false));
     }
 
+    /// Makes this entry known at addresses where other entries may be, until one of them is heard.
+    pub async fn greet(&self, addresses: &[SocketAddr]) {
+        while self.entry.heard() == 1 {
+            let mut gossip = self.entry.gossip();
+            gossip.pause = u32::try_from(GREET_PAUSE.as_millis()).unwrap_or(u32::MAX);
+            self.send_to(&gossip, addresses).await;
+            tokio::time::sleep(GREET_PAUSE).await;
+        }
+    }
+
+    /// Returns the entries that are heard, with their addresses, and this one.
+    pub(crate) fn entries(&self) -> Vec<(Name, SocketAddr)> {
+        let peers = self.peers.borrow();
+        let own = self
+            .address()
+            .map(|address| (self.entry.name.clone(), address));
+        let others = self.entry.sources().into_iter().filter_map(|name| {
+            let address = peers.get(&name)?.address;
+            Some((name, address))
+        });
+        others.chain(own.ok()).collect()
+    }
+
+    /// Returns the addresses of the entries that are heard, those with the newest configuration first.
+    pub(crate) fn sources(&self) -> Vec<SocketAddr> {
+        let others = self.entries().into_iter();
+        let others = others.filter(|(name, _)| *name != self.entry.name);
+        others.map(|(_, address)| address).collect()
+    }
+
     /// Sends messages for ever.
     pub async fn send(self: Rc<Self>) {
         loop {
@@ -173,11 +214,11 @@
 
     fn hear(&self, gossip: Gossip, from: SocketAddr) {
         let name = Name::new(&gossip.entry);
-        if name == self.entry.settings.name {
+        if name == self.entry.name {
             return;
         }
         let leaving = gossip.leaving;
-        let near = *gossip.zone == *self.entry.settings.zone.as_str();
+        let near = *gossip.zone == *self.entry.zone.as_str();
         let joined = self.entry.hear(gossip);
         let mut peers = self.peers.borrow_mut();
         if leaving {
--- a/crates/ebonylug-direct/src/pool.rs
+++ b/crates/ebonylug-direct/src/pool.rs
@@ -34,8 +34,8 @@
 
 /// A connection to a target.
 #[derive(Debug)]
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
 }
 
@@ -189,7 +189,8 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> std::io::Result<Connection> {
+/// Connects to a target, or to another entry.
+pub(crate) async fn connect(address: SocketAddr) -> std::io::Result<Connection> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
--- a/crates/ebonylug-direct/src/request.rs
+++ b/crates/ebonylug-direct/src/request.rs
@@ -178,7 +178,7 @@
             ));
         }
         let used = &entry.body_bytes;
-        if used.get() + part.len() > entry.settings.body_memory {
+        if used.get() + part.len() > entry.bounds.get().body_memory {
             return Err(Rejection::Refused(Refusal {
                 reason: Reason::Memory,
                 after: MEMORY_RETURN,
--- a/crates/ebonylug-direct/src/server.rs
+++ b/crates/ebonylug-direct/src/server.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use crate::answer::{self, Served};
+use crate::copies::Copies;
 use crate::entry::Entry;
 use crate::forward;
 use crate::pool;
@@ -114,7 +115,7 @@
         let (entry, dropped) = (Rc::clone(&entry), Rc::clone(&dropped));
         async move {
             Ok(match request.uri().path() {
-                "/metrics" => answer::text(entry.metrics(dropped())),
+                "/metrics" => answer::page(entry.metrics(dropped())),
                 _ => answer::own(StatusCode::NOT_FOUND, "no such page"),
             })
         }
@@ -122,6 +123,23 @@
     serve_with(listener, serve).await;
 }
 
+/// Answers other entries that ask for copies of tables: the path is the table, the query the version that
+/// they have.
+pub async fn serve_copies(copies: Rc<Copies>, listener: TcpListener) {
+    let serve = move |request: Request<Incoming>| {
+        let table = request.uri().path().trim_start_matches('/');
+        let after = request.uri().query().and_then(|text| text.parse().ok());
+        let copy = copies.answer(table, after.unwrap_or(0));
+        async move {
+            Ok(match copy {
+                Some(bytes) => answer::page(bytes),
+                None => answer::own(StatusCode::NO_CONTENT, ""),
+            })
+        }
+    };
+    serve_with(listener, serve).await;
+}
+
 async fn serve_with<F, Fut>(listener: TcpListener, handle: F)
 where
     F: Fn(Request<Incoming>) -> Fut + Clone + 'static,
@@ -158,7 +176,7 @@
     tracing::info!(part = "server", active = entry.active.get(), "stopping");
     tokio::time::sleep(BALANCER).await;
     let _ = closed.send(true);
-    let end = begun + entry.settings.grace.saturating_sub(MARGIN);
+    let end = begun + entry.bounds.get().grace.saturating_sub(MARGIN);
     while entry.active.get() > 0 && tokio::time::Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
--- a/crates/ebonylug-direct/tests/common/mod.rs
+++ b/crates/ebonylug-direct/tests/common/mod.rs
@@ -10,9 +10,10 @@
 use std::time::Duration;
 
 use ebonylug_core::{Name, SystemClock};
-use ebonylug_direct::{Dialect, Entry, Settings, Uptime, server};
+use ebonylug_direct::{Bounds, Dialect, Entry, Settings, Uptime, server};
 use ebonylug_dispatch::{
-    Config, Draft, Kind, Limits, Organisation, Quota, Route, Service, Target, TargetState,
+    Config, Draft, Kind, Limits, Organisation, Quota, RetryRule, Route, Service, Target,
+    TargetState,
 };
 use http::HeaderName;
 use smallvec::smallvec;
@@ -297,15 +298,26 @@
 
     /// Starts an entry that knows nothing.
     pub async fn bare() -> Self {
+        Self::named("entry-1").await
+    }
+
+    /// Starts an entry that knows nothing but its name.
+    pub async fn named(name: &str) -> Self {
         let time = Time::default();
         time.0.set(Duration::from_secs(100));
         let settings = Settings {
-            name: Name::new("entry-1"),
+            name: Name::new(name),
             zone: Name::new("zone"),
-            key_age: Duration::from_secs(4),
-            retries: (0.2, 50.0, Duration::from_secs(10)),
-            grace: Duration::from_secs(8),
-            body_memory: 1 << 20,
+            bounds: Bounds {
+                key_age: Duration::from_secs(4),
+                retries: RetryRule {
+                    ratio: 0.2,
+                    constant: 50.0,
+                    window: Duration::from_secs(10),
+                },
+                grace: Duration::from_secs(8),
+                body_memory: 1 << 20,
+            },
         };
         let clock = Arc::new(SystemClock);
         let entry = Entry::new(settings, dialect(), clock, Box::new(time.clone()), 1);
--- a/crates/ebonylug-direct/tests/follow.rs
+++ b/crates/ebonylug-direct/tests/follow.rs
@@ -73,7 +73,8 @@
     let follower = Follower {
         name: "op",
         feed: Scripted(Rc::clone(script)),
-        pace,
+        backup: (),
+        pace: Rc::new(Cell::new(pace)),
         clock: Arc::new(ManualClock::new()),
         uptime: Box::new(Paused(tokio::time::Instant::now())),
         count: Box::new(|_| ()),
--- a/crates/ebonylug-dispatch/src/budget.rs
+++ b/crates/ebonylug-dispatch/src/budget.rs
@@ -5,6 +5,28 @@
 /// another window.
 const USED_PART: f64 = 0.8;
 
+/// The bound on repeated sends to one service, over all entries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryRule {
+    /// The part of the requests that may be sent again.
+    pub ratio: f64,
+    /// Sends beyond that part.
+    pub constant: f64,
+    /// The time over which both are counted.
+    pub window: Duration,
+}
+
+impl RetryRule {
+    /// Returns the part of one of some entries. The sum of all parts is the bound.
+    #[must_use]
+    pub fn part(self, entries: usize) -> Self {
+        RetryRule {
+            constant: self.constant / entries.max(1) as f64,
+            ..self
+        }
+    }
+}
+
 /// The repeated sends that one entry may make to one service.
 ///
 /// The budget over all entries is a share of the requests plus a constant, in each window. An entry
@@ -13,18 +35,17 @@
 ///
 /// ```
 /// use std::time::{Duration, Instant};
-/// use ebonylug_dispatch::RetryBudget;
+/// use ebonylug_dispatch::{RetryBudget, RetryRule};
 ///
 /// let now = Instant::now();
-/// let mut budget = RetryBudget::new(0.2, 5.0, Duration::from_secs(10));
+/// let rule = RetryRule { ratio: 0.2, constant: 5.0, window: Duration::from_secs(10) };
+/// let mut budget = RetryBudget::new(rule);
 /// assert!((0..4).all(|_| budget.take(now)));
 /// assert!(!budget.take(now));
 /// ```
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    ratio: f64,
-    constant: f64,
-    window: Duration,
+    rule: RetryRule,
     requests: VecDeque<(Instant, u32)>,
     repeats: VecDeque<(Instant, u32)>,
 }
@@ -33,36 +54,34 @@
 const SPAN: Duration = Duration::from_millis(250);
 
 impl RetryBudget {
-    /// Creates a budget of `ratio` of the requests plus `constant`, in each `window`.
+    /// Creates a budget of which nothing is used.
     #[must_use]
-    pub fn new(ratio: f64, constant: f64, window: Duration) -> Self {
+    pub fn new(rule: RetryRule) -> Self {
         RetryBudget {
-            ratio,
-            constant,
-            window,
+            rule,
             requests: VecDeque::new(),
             repeats: VecDeque::new(),
         }
     }
 
-    /// Changes the constant part, as the number of entries changes.
-    pub fn set_constant(&mut self, constant: f64) {
-        self.constant = constant;
+    /// Changes the rule, as the number of entries or the settings change.
+    pub fn set_rule(&mut self, rule: RetryRule) {
+        self.rule = rule;
     }
 
     /// Counts a request's first send.
     pub fn request(&mut self, now: Instant) {
-        count(&mut self.requests, now, self.window);
+        count(&mut self.requests, now, self.rule.window);
     }
 
     /// Takes one repeated send out of the budget, if there is one.
     pub fn take(&mut self, now: Instant) -> bool {
-        let requests = total(&mut self.requests, now, self.window);
-        let repeats = total(&mut self.repeats, now, self.window);
-        let allowed = (self.ratio * f64::from(requests) + self.constant) * USED_PART;
+        let requests = total(&mut self.requests, now, self.rule.window);
+        let repeats = total(&mut self.repeats, now, self.rule.window);
+        let allowed = (self.rule.ratio * f64::from(requests) + self.rule.constant) * USED_PART;
         let granted = f64::from(repeats) + 1.0 <= allowed;
         if granted {
-            count(&mut self.repeats, now, self.window);
+            count(&mut self.repeats, now, self.rule.window);
         }
         granted
     }
--- a/crates/ebonylug-dispatch/src/freshness.rs
+++ b/crates/ebonylug-dispatch/src/freshness.rs
@@ -20,6 +20,11 @@
         }
     }
 
+    /// Changes the age up to which keys are accepted.
+    pub fn set_bound(&mut self, bound: Duration) {
+        self.bound = bound;
+    }
+
     /// Notes that the configuration in force was current at `time`.
     pub fn confirm(&mut self, time: Duration) {
         self.confirmed = self.confirmed.max(Some(time));
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -108,6 +108,8 @@
     boot: u64,
     sequence: u64,
     config: u64,
+    /// The uptime of this entry for which the other one knew that its configuration is current.
+    confirmed: Option<Duration>,
     heard: Instant,
     pause: Duration,
     /// The least difference between the time of receipt and the time of sending, in milliseconds.
@@ -180,6 +182,7 @@
             boot: gossip.boot,
             sequence: gossip.sequence,
             config: gossip.config,
+            confirmed: news.confirmed.map(|(_, time)| time),
             heard: now,
             pause: Duration::from_millis(u64::from(gossip.pause)),
             used,
@@ -213,6 +216,16 @@
         versions.max().unwrap_or(0)
     }
 
+    /// Returns the entries that are heard, those whose configuration was confirmed last first.
+    #[must_use]
+    pub fn sources(&self, now: Instant) -> Vec<Name> {
+        let heard = self.peers.iter().filter(|(_, peer)| peer.is_heard(now));
+        let mut names: Vec<(Option<Duration>, &Name)> =
+            heard.map(|(name, peer)| (peer.confirmed, name)).collect();
+        names.sort_by(|a, b| b.cmp(a));
+        names.into_iter().map(|(_, name)| name.clone()).collect()
+    }
+
     /// Returns what all other entries say of each target, by hash of its name.
     #[must_use]
     pub fn running(&self, now: Instant) -> HashMap<u32, Others> {
--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -36,7 +36,7 @@
 mod target;
 mod waiting;
 
-pub use budget::RetryBudget;
+pub use budget::{RetryBudget, RetryRule};
 pub use config::{Config, Draft, Kind, Limits, Organisation, Quota, Route, Service};
 pub use freshness::Freshness;
 pub use gossip::{Gossip, MoveNews, Peers, Running, Usage};
--- a/crates/ebonylug-dispatch/tests/limits.rs
+++ b/crates/ebonylug-dispatch/tests/limits.rs
@@ -5,7 +5,7 @@
 use ebonylug_core::Name;
 use ebonylug_dispatch::{
     Config, Draft, Freshness, Gossip, Limits, Organisation, Peers, Quota, Quotas, RetryBudget,
-    Standing, Usage,
+    RetryRule, Standing, Usage,
 };
 
 const RATE: f64 = 1_000.0;
@@ -129,10 +129,13 @@
 #[test]
 fn retries_stay_within_the_budget_in_each_window() {
     let (ratio, constant, window) = (0.2, 54.0, Duration::from_secs(10));
+    let rule = RetryRule {
+        ratio,
+        constant,
+        window,
+    };
     let start = Instant::now();
-    let mut entries: Vec<RetryBudget> = (0..4)
-        .map(|_| RetryBudget::new(ratio, constant / 4.0, window))
-        .collect();
+    let mut entries: Vec<RetryBudget> = (0..4).map(|_| RetryBudget::new(rule.part(4))).collect();
     let mut requests: Vec<Instant> = Vec::new();
     let mut repeats: Vec<Instant> = Vec::new();
     for step in 0..4_000_u32 {
