Show what an entry on the platform has in force with ebonylugctl state

Cause: on the platform operators write to the store, and nothing told them what an entry has taken over: version and age of its configuration, targets, moves.

Ruled out: reading the store from the command line. It holds what was ordered, not what is in force at an entry.

Change: the metrics address also answers GET /api/v1/state, with no token, since it shows no keys; ebonylugctl state prints it as text or JSON.

Measured: a test runs the command against an entry in the middle of a move with a drained zone.

--- a/crates/ebonylug-direct/src/answer.rs
+++ b/crates/ebonylug-direct/src/answer.rs
@@ -7,6 +7,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::{Either, Full, StreamBody};
 use hyper::body::Frame;
+use serde::Serialize;
 
 /// A streamed body. An error breaks off the connection, so that the answer does not look whole.
 type Parts = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, std::io::Error>>>>;
@@ -84,6 +85,25 @@
     answer
 }
 
+/// Makes a success with a value as JSON.
+pub(crate) fn json(value: &impl Serialize) -> Answer {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => {
+            let mut answer = page(bytes);
+            let kind = HeaderValue::from_static("application/json");
+            answer.headers_mut().insert(header::CONTENT_TYPE, kind);
+            answer
+        }
+        Err(error) => {
+            tracing::error!(part = "server", %error, "an answer cannot be written");
+            own(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "an answer cannot be written",
+            )
+        }
+    }
+}
+
 /// Makes a streamed body.
 pub(crate) fn streamed<S>(parts: S) -> Body
 where
--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -6,8 +6,8 @@
 
 use ebonylug_core::{Clock, Fingerprint, Incarnation, Name};
 use ebonylug_dispatch::{
-    Ask, Asked, Config, Crashes, Decision, Freshness, Gossip, Peers, Quotas, Reason, Refusal,
-    RetryBudget, RetryRule, Scheduler, Target, TargetKey,
+    Ask, Asked, Config, Crashes, Decision, Freshness, Gossip, Overview, Peers, Quotas, Reason,
+    Refusal, RetryBudget, RetryRule, Scheduler, Target, TargetKey,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -404,6 +404,32 @@
         self.instruments.read(table, outcome);
     }
 
+    /// Returns what is in force.
+    #[must_use]
+    pub fn overview(&self) -> Overview {
+        let now = self.clock.now();
+        let ready = self.is_ready();
+        let mut state = self.state.borrow_mut();
+        state.refresh(now);
+        let standing = state.peers.standing(now);
+        let drained = state.scheduler.drained().iter();
+        Overview {
+            entry: self.name.as_str().into(),
+            zone: self.zone.as_str().into(),
+            ready,
+            config: state.config.as_ref().map_or(0, |config| config.version),
+            config_age: state.freshness.age(self.uptime.uptime()).map(millis),
+            heard: standing.heard,
+            known: standing.known,
+            waiting: state.scheduler.waiting(),
+            active: self.active.get(),
+            drained: drained.map(|zone| zone.as_str().into()).collect(),
+            targets: state.scheduler.overview(now),
+            moves: state.moves.news(self.uptime.uptime()).0,
+            quarantined: state.crashes.log().quarantined().collect(),
+        }
+    }
+
     /// Writes all metrics in the text format. `dropped` is the number of log lines that were dropped.
     #[must_use]
     pub fn metrics(&self, dropped: usize) -> String {
--- a/crates/ebonylug-direct/src/grant.rs
+++ b/crates/ebonylug-direct/src/grant.rs
@@ -93,10 +93,12 @@
             Outcome::Failed | Outcome::Broken | Outcome::Unreachable => Some(Sample::failed()),
             Outcome::Refused | Outcome::Withdrawn => None,
         };
-        let target = state.scheduler.target(self.target).cloned();
-        if let Some(target) = target.as_ref().filter(|_| outcome == Outcome::Unreachable) {
-            state.is_down(now, target);
+        if outcome == Outcome::Unreachable
+            && let Some(target) = state.scheduler.target(self.target).cloned()
+        {
+            state.is_down(now, &target);
         }
+        let target = state.scheduler.target(self.target);
         if let (Some(sample), Some(target)) = (sample, target) {
             let (service, version) = (target.service.clone(), target.version.clone());
             let uptime = self.entry.uptime.uptime();
--- a/crates/ebonylug-direct/src/server.rs
+++ b/crates/ebonylug-direct/src/server.rs
@@ -111,7 +111,7 @@
     serve_with(listener, move |request| ready(Rc::clone(&entry), request)).await;
 }
 
-/// Answers whoever collects metrics. `dropped` returns the number of log lines that were dropped.
+/// Answers whoever collects metrics, and operators that ask what is in force. `dropped` returns the number of log lines that were dropped.
 pub async fn serve_metrics(
     entry: Rc<Entry>,
     listener: TcpListener,
@@ -123,6 +123,7 @@
         async move {
             Ok(match request.uri().path() {
                 "/metrics" => answer::page(entry.metrics(dropped())),
+                "/api/v1/state" => answer::json(&entry.overview()),
                 _ => answer::own(StatusCode::NOT_FOUND, "no such page"),
             })
         }
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -9,6 +9,7 @@
 use crate::gossip::{PACE_UNIT, Running};
 use crate::hash::{hash_of, mix, short, unit};
 use crate::health::{Change, Health, Outcome};
+use crate::overview::TargetOverview;
 use crate::refusal::{Reason, Refusal};
 use crate::rollout::Versions;
 use crate::subject::Subjects;
@@ -272,6 +273,18 @@
         })
     }
 
+    /// Returns what operators are shown of all targets, by service and name.
+    #[must_use]
+    pub fn overview(&self, now: Instant) -> Vec<TargetOverview> {
+        let mut targets: Vec<TargetOverview> = self
+            .targets
+            .values()
+            .map(|known| known.overview(now, self.drained.contains(&known.info.zone)))
+            .collect();
+        targets.sort();
+        targets
+    }
+
     /// Asks for a target.
     pub fn ask(&mut self, now: Instant, ask: Ask) -> Asked {
         if !self.has_target(&ask) {
--- a/crates/ebonylug-dispatch/src/target.rs
+++ b/crates/ebonylug-dispatch/src/target.rs
@@ -5,6 +5,7 @@
 
 use crate::cold::ColdRate;
 use crate::health::Health;
+use crate::overview::TargetOverview;
 
 slotmap::new_key_type! {
     /// The key of a target in a [`Scheduler`](crate::Scheduler).
@@ -95,6 +96,25 @@
 }
 
 impl Known {
+    pub(crate) fn overview(&self, now: Instant, drained: bool) -> TargetOverview {
+        let state = match self.info.state {
+            TargetState::Leaving => "leaving",
+            TargetState::Serving if drained => "drained",
+            TargetState::Serving if self.health.on_trial() || self.health.rests(now) => "resting",
+            TargetState::Serving => "serving",
+        };
+        TargetOverview {
+            service: self.info.service.as_str().into(),
+            name: self.info.name.as_str().into(),
+            zone: self.info.zone.as_str().into(),
+            version: self.info.version.clone(),
+            state: state.into(),
+            own: self.own,
+            all: self.load(),
+            slots: self.info.slots,
+        }
+    }
+
     pub(crate) fn load(&self) -> u32 {
         self.own + self.others.requests
     }
--- a/crates/ebonylugctl/src/api.rs
+++ b/crates/ebonylugctl/src/api.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 
 use ebonylug_core::{Fingerprint, Name, Revision};
+use ebonylug_dispatch::Overview;
 use ebonylug_events::Event;
 use ebonylug_net::client::{self, Client};
 use ebonylug_resource::{AnyResource, Expected, Kind, Problem};
@@ -98,15 +99,23 @@
 /// A client of the resource API.
 pub struct Api {
     server: Server,
-    authorization: HeaderValue,
+    authorization: Option<HeaderValue>,
     client: Client,
 }
 
 impl Api {
     pub fn new(server: Server, authorization: HeaderValue) -> Self {
+        Api {
+            authorization: Some(authorization),
+            ..Api::open(server)
+        }
+    }
+
+    /// Creates a client that has no token, for calls that need none.
+    pub fn open(server: Server) -> Self {
         Api {
             server,
-            authorization,
+            authorization: None,
             client: Client::new(),
         }
     }
@@ -161,6 +170,11 @@
         self.read("events", TIMEOUT).await
     }
 
+    /// Returns what an entry on the platform has in force.
+    pub async fn state(&self) -> Result<Overview> {
+        self.read("state", TIMEOUT).await
+    }
+
     pub async fn quarantined(&self) -> Result<Quarantined> {
         self.read("quarantine", TIMEOUT).await
     }
@@ -186,8 +200,10 @@
         let mut call = Request::builder()
             .method(method)
             .uri(format!("{}/api/v1/{path}", self.server))
-            .header(header::AUTHORIZATION, &self.authorization)
             .header(header::CONTENT_TYPE, "application/json");
+        if let Some(authorization) = &self.authorization {
+            call = call.header(header::AUTHORIZATION, authorization);
+        }
         call = match expected {
             Expected::Any => call,
             Expected::Absent => call.header(header::IF_NONE_MATCH, "*"),
--- a/crates/ebonylugctl/src/arguments.rs
+++ b/crates/ebonylugctl/src/arguments.rs
@@ -60,6 +60,9 @@
     /// Show what became of a request, and why, from the logs of all processes
     #[bpaf(command)]
     Explain(#[bpaf(external(explain))] Explain),
+    /// Show what an entry on the platform has in force; the server is its metrics address
+    #[bpaf(command)]
+    State(#[bpaf(external(state))] State),
     /// Show or release requests that are refused because they crash targets
     #[bpaf(command)]
     Quarantine(#[bpaf(external(quarantine))] Quarantine),
@@ -78,6 +81,14 @@
     pub files: Vec<PathBuf>,
 }
 
+#[derive(Clone, Debug, PartialEq, Bpaf)]
+pub(crate) struct State {
+    #[bpaf(external(connection))]
+    pub connection: Connection,
+    #[bpaf(external(output_format))]
+    pub output: Format,
+}
+
 #[derive(Clone, Debug, PartialEq, Bpaf)]
 pub(crate) struct Get {
     #[bpaf(external(connection))]
@@ -236,6 +247,7 @@
             Command::Drain(zone) | Command::Restore(zone) => &zone.connection,
             Command::Move(planned) => &planned.connection,
             Command::Events(events) => &events.connection,
+            Command::State(state) => &state.connection,
             Command::Quarantine(Quarantine::List(list)) => &list.connection,
             Command::Quarantine(Quarantine::Release(release)) => &release.connection,
             Command::Explain(_) | Command::HashToken => &self.connection,
--- a/crates/ebonylugctl/src/command/mod.rs
+++ b/crates/ebonylugctl/src/command/mod.rs
@@ -6,6 +6,7 @@
 mod progress;
 mod quarantine;
 mod resources;
+mod state;
 mod token;
 mod watch;
 mod zones;
@@ -28,6 +29,9 @@
     }
     let connection = arguments.connection();
     let server = connection.address(environment)?;
+    if let Command::State(state) = &arguments.command {
+        return state::show(&Api::open(server), state, console).await;
+    }
     let api = Api::new(server, connection.authorization(environment)?);
     match &arguments.command {
         Command::Get(get) => resources::get(&api, get, console).await,
@@ -39,6 +43,7 @@
         Command::Move(planned) => moves::start(&api, planned, console).await,
         Command::Events(events) => events::show(&api, events, console).await,
         Command::Quarantine(quarantine) => quarantine::run(&api, quarantine, console).await,
+        Command::State(state) => state::show(&api, state, console).await,
         Command::Explain(explain) => explain::run(explain, console),
         Command::HashToken => token::hash(console),
     }
--- /dev/null
+++ b/crates/ebonylugctl/src/command/state.rs
@@ -0,0 +1,83 @@
+use std::fmt::Write;
+
+use ebonylug_dispatch::{Overview, TargetOverview};
+
+use crate::api::Api;
+use crate::arguments::State;
+use crate::output::{Format, table};
+use crate::{Console, Outcome, Result};
+
+/// Shows what an entry has in force.
+pub async fn show(api: &Api, state: &State, console: &mut Console<'_>) -> Result<Outcome> {
+    let overview = api.state().await?;
+    match state.output {
+        Format::Json => console.json(&overview)?,
+        Format::Text => console.text(&render(&overview))?,
+    }
+    Ok(Outcome::Done)
+}
+
+fn render(overview: &Overview) -> String {
+    let ready = if overview.ready { "ready" } else { "not ready" };
+    let age = match overview.config_age {
+        Some(age) => format!("current {age} ms ago"),
+        None => "not known to be current".into(),
+    };
+    let mut text = format!(
+        "entry {} in zone {}: {ready}\n\
+         configuration {}, {age}\n\
+         entries: {} of {} heard\n\
+         requests: {} active, {} waiting\n",
+        overview.entry,
+        overview.zone,
+        overview.config,
+        overview.heard,
+        overview.known,
+        overview.active,
+        overview.waiting,
+    );
+    let mut line = |name, cells: Vec<String>| {
+        if !cells.is_empty() {
+            let _ = writeln!(text, "{name}: {}", cells.join(", "));
+        }
+    };
+    line(
+        "zones that get nothing",
+        overview
+            .drained
+            .iter()
+            .map(|zone| zone.to_string())
+            .collect(),
+    );
+    let shown = |m: &ebonylug_dispatch::MoveNews| {
+        format!("{} to {}: {}", m.service, m.version, m.stage.as_str())
+    };
+    line("moves", overview.moves.iter().map(shown).collect());
+    line(
+        "quarantined",
+        overview
+            .quarantined
+            .iter()
+            .map(ToString::to_string)
+            .collect(),
+    );
+    let headings = [
+        "SERVICE", "TARGET", "ZONE", "VERSION", "STATE", "OWN", "ALL", "SLOTS",
+    ];
+    let mut rows = vec![headings.map(String::from).to_vec()];
+    rows.extend(overview.targets.iter().map(row));
+    text + &table::render(&rows)
+}
+
+fn row(target: &TargetOverview) -> Vec<String> {
+    vec![
+        target.service.to_string(),
+        target.name.to_string(),
+        target.zone.to_string(),
+        target.version.to_string(),
+        target.state.to_string(),
+        target.own.to_string(),
+        target.all.to_string(),
+        target.slots.to_string(),
+    ]
+}
--- a/crates/ebonylugctl/src/output/table.rs
+++ b/crates/ebonylugctl/src/output/table.rs
@@ -169,7 +169,8 @@
     }
 }
 
-fn render(rows: &[Vec<String>]) -> String {
+/// Renders rows of cells in columns.
+pub fn render(rows: &[Vec<String>]) -> String {
     let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
     let width = |column: usize| {
         let cells = rows.iter().filter_map(|row| row.get(column));
--- a/crates/ebonylugctl/tests/arguments.rs
+++ b/crates/ebonylugctl/tests/arguments.rs
@@ -11,7 +11,7 @@
 /// Guards against unintended changes of the help, which documents commands and exit codes.
 #[test]
 fn help() {
-    let commands: [&[&str]; 13] = [
+    let commands: [&[&str]; 14] = [
         &[],
         &["get"],
         &["apply"],
@@ -21,6 +21,7 @@
         &["restore"],
         &["move"],
         &["events"],
+        &["state"],
         &["quarantine"],
         &["quarantine", "list"],
         &["quarantine", "release"],
--- /dev/null
+++ b/crates/ebonylugctl/tests/state.rs
@@ -0,0 +1,126 @@
+//! What an entry on the platform has in force, from the entry itself.
+
+mod common;
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::run_in;
+use ebonylug_core::{ManualClock, Name};
+use ebonylug_direct::{Bounds, Dialect, Entry, Order, Settings, Uptime, server};
+use ebonylug_dispatch::{Config, Draft, Limits, RetryRule, Target, TargetState};
+use ebonylugctl::{Environment, Outcome};
+use http::HeaderName;
+
+/// Uptime that does not pass.
+struct Still;
+
+impl Uptime for Still {
+    fn uptime(&self) -> Duration {
+        Duration::from_secs(100)
+    }
+}
+
+fn dialect() -> Dialect {
+    let name = HeaderName::from_static("x-any");
+    Dialect {
+        request_id: name.clone(),
+        deadline: name.clone(),
+        expected: name.clone(),
+        organisation: name.clone(),
+        tokens: name.clone(),
+        parts: name.clone(),
+        last_event: name.clone(),
+        signature: name.clone(),
+        not_run: name.clone(),
+        cold: name,
+        reserved: Vec::new(),
+        ready_path: "/ready".into(),
+    }
+}
+
+fn target(name: &str, zone: &str, version: &str, state: TargetState) -> Target {
+    Target {
+        name: Name::new(name),
+        service: Name::new("pool"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: Name::new(zone),
+        version: version.into(),
+        slots: 6,
+        state,
+        cold: Duration::ZERO,
+        born: 1,
+    }
+}
+
+/// An entry in the middle of a move, with a zone that gets nothing.
+fn entry() -> Rc<Entry> {
+    let settings = Settings {
+        name: Name::new("front-1"),
+        zone: Name::new("west"),
+        bounds: Bounds {
+            key_age: Duration::from_secs(4),
+            retries: RetryRule {
+                ratio: 0.2,
+                constant: 54.0,
+                window: Duration::from_secs(10),
+            },
+            grace: Duration::from_secs(8),
+            body_memory: 1 << 20,
+        },
+    };
+    let clock = Arc::new(ManualClock::new());
+    let entry = Entry::new(settings, dialect(), clock, Box::new(Still), 1);
+    entry.apply(Config::new(Draft {
+        version: 17,
+        routes: Vec::new(),
+        services: Vec::new(),
+        organisations: Vec::new(),
+        limits: Limits {
+            head_bytes: 16 << 10,
+            body_bytes: 4_000,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        },
+    }));
+    entry.confirm(Duration::from_millis(99_600));
+    entry.agree(Duration::from_secs(100), Duration::from_secs(5));
+    entry.set_targets(vec![
+        target("engine-2", "east", "v2", TargetState::Serving),
+        target("engine-1", "west", "v1", TargetState::Serving),
+        target("engine-3", "west", "v1", TargetState::Leaving),
+    ]);
+    entry.set_drained(HashSet::from([Name::new("east")]));
+    entry.set_orders(&[Order {
+        service: Name::new("pool"),
+        version: "v2".into(),
+        length: Duration::from_secs(60),
+    }]);
+    entry
+}
+
+/// Guards against operators who cannot tell from any entry what it has in force, or need a token for it.
+#[test]
+fn an_entry_tells_what_is_in_force() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let listener = server::listen(any).expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        tokio::task::spawn_local(server::serve_metrics(entry(), listener, || 0));
+        let environment = Environment {
+            server: Some(format!("http://{address}").into()),
+            token: None,
+        };
+        let shown = run_in(&environment, &["state"], "").await;
+        assert_eq!(shown.outcome, Outcome::Done, "{}", shown.errors);
+        insta::assert_snapshot!(shown.output);
+        let json = run_in(&environment, &["state", "-o", "json"], "").await;
+        insta::assert_snapshot!("state_as_json", json.output);
+    });
+}
