Log lost and regained entries, test the log lines, and count calls, repeats and times

Cause: an entry that fell silent left no line, dropped lines were counted but not said, the lines themselves had no test, and a line "stream broke" did not name its target. Metrics had no times by kind and outcome, no age of the tables, no repeated sends and no load of the services.

Ruled out: a label for each target or organisation; the number of series would grow with them.

Change: lines entry not heard, heard again, left, and log lines were dropped.

New metrics; calls of the store are counted in one place, writes too.

--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -6,8 +6,8 @@
 
 use ebonylug_core::{Clock, Fingerprint, Incarnation, Name};
 use ebonylug_dispatch::{
-    Ask, Asked, Config, Crashes, Decision, Freshness, Gossip, Overview, Peers, Quotas, Reason,
-    Refusal, RetryBudget, RetryRule, Scheduler, Target, TargetKey,
+    Ask, Asked, Config, Crashes, Decision, Freshness, Gossip, Peers, Quotas, Reason, Refusal,
+    RetryBudget, RetryRule, Scheduler, Target, TargetKey,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -15,7 +15,7 @@
 
 use crate::dialect::Dialect;
 use crate::grant::{Grant, Ticket, Waiter};
-use crate::instruments::{Instruments, Levels};
+use crate::instruments::Instruments;
 use crate::moves::{Moves, Order, Report};
 use crate::pool::{Lease, Pool};
 use crate::state::State;
@@ -240,7 +240,9 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         if state.scheduler.drained() != &zones {
-            tracing::info!(part = "targets", ?zones, "zones that get nothing");
+            let names: Vec<&str> = zones.iter().map(Name::as_str).collect();
+            let zones = names.join(",");
+            tracing::info!(part = "targets", zones, "zones that get nothing");
         }
         state.scheduler.set_drained(now, zones);
     }
@@ -307,7 +309,9 @@
     /// Takes one repeated send out of the budget of a service.
     pub(crate) fn take_retry(&self, service: &Name) -> bool {
         let now = self.clock.now();
-        self.with_budget(service, |budget| budget.take(now))
+        let taken = self.with_budget(service, |budget| budget.take(now));
+        self.instruments.repeated(taken);
+        taken
     }
 
     fn with_budget<T>(&self, service: &Name, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
@@ -399,54 +403,6 @@
         self.state.borrow().scheduler.changes()
     }
 
-    /// Counts a read of the store.
-    pub fn count_read(&self, table: &'static str, outcome: &'static str) {
-        self.instruments.read(table, outcome);
-    }
-
-    /// Returns what is in force.
-    #[must_use]
-    pub fn overview(&self) -> Overview {
-        let now = self.clock.now();
-        let ready = self.is_ready();
-        let mut state = self.state.borrow_mut();
-        state.refresh(now);
-        let standing = state.peers.standing(now);
-        let drained = state.scheduler.drained().iter();
-        Overview {
-            entry: self.name.as_str().into(),
-            zone: self.zone.as_str().into(),
-            ready,
-            config: state.config.as_ref().map_or(0, |config| config.version),
-            config_age: state.freshness.age(self.uptime.uptime()).map(millis),
-            heard: standing.heard,
-            known: standing.known,
-            waiting: state.scheduler.waiting(),
-            active: self.active.get(),
-            drained: drained.map(|zone| zone.as_str().into()).collect(),
-            targets: state.scheduler.overview(now),
-            moves: state.moves.news(self.uptime.uptime()).0,
-            quarantined: state.crashes.log().quarantined().collect(),
-        }
-    }
-
-    /// Writes all metrics in the text format. `dropped` is the number of log lines that were dropped.
-    #[must_use]
-    pub fn metrics(&self, dropped: usize) -> String {
-        let now = self.clock.now();
-        let state = self.state.borrow();
-        let levels = Levels {
-            waiting: state.scheduler.waiting(),
-            active: self.active.get(),
-            config_version: state.config.as_ref().map_or(0, |config| config.version),
-            config_age: state.freshness.age(self.uptime.uptime()),
-            heard: state.peers.standing(now).heard,
-            dropped,
-        };
-        drop(state);
-        self.instruments.render(levels)
-    }
-
     /// Returns the number of requests that wait.
     pub(crate) fn waiting(&self) -> usize {
         self.state.borrow().scheduler.waiting()
@@ -567,6 +523,7 @@
     pub fn tick(self: &Rc<Self>) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
+        state.tell_peers(now);
         state.peers.expire(now);
         state.crashes.expire(now);
         state.peers_changed(now);
--- a/crates/ebonylug-direct/src/follow.rs
+++ b/crates/ebonylug-direct/src/follow.rs
@@ -153,8 +153,6 @@
     pub clock: Arc<dyn Clock>,
     /// Tells when rows were current.
     pub uptime: Box<dyn Uptime>,
-    /// Counts a read by its outcome.
-    pub count: Box<dyn Fn(&'static str)>,
 }
 
 /// What a follower knows of its table and of the way to it.
@@ -183,11 +181,6 @@
                 None => self.feed.list().await,
                 Some(after) => self.changes(after, wait, &age).await,
             };
-            (self.count)(match &read {
-                Ok(_) => "answered",
-                Err(Error::Compacted) => "compacted",
-                Err(Error::Failed(_)) => "failed",
-            });
             match read {
                 Ok(rows) => {
                     let (told, made) = self.answered(&mut progress, rows);
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -85,12 +85,13 @@
     let mut trace = Trace::default();
     let mut answer = match serve(&entry, request, active, &mut trace).await {
         Ok(answer) => {
-            entry.instruments.first(begun.elapsed());
+            entry.instruments.first(trace.kind, begun.elapsed());
             answer
         }
         Err(rejection) => {
             let (outcome, reason) = (rejection.outcome(), rejection.reason());
-            entry.instruments.ended(trace.kind, outcome, reason);
+            let time = begun.elapsed();
+            entry.instruments.ended(trace.kind, outcome, reason, time);
             tell(&entry, &trace, rejection, begun);
             rejection.answer()
         }
@@ -186,7 +187,8 @@
             let failed = head.status.is_server_error();
             entry.note_finished(job.call.content);
             let outcome = if failed { "failed_by_target" } else { "served" };
-            entry.instruments.ended(trace.kind, outcome, "");
+            let time = job.call.arrived.elapsed();
+            entry.instruments.ended(trace.kind, outcome, "", time);
             let mut answer = Response::new(Either::Left(Full::new(body)));
             *answer.status_mut() = head.status;
             *answer.headers_mut() = request::returned(&head.headers);
@@ -274,7 +276,8 @@
             return;
         }
         let kind = Some(self.call.route.kind);
-        self.entry.instruments.ended(kind, "left", "");
+        let time = self.call.arrived.elapsed();
+        self.entry.instruments.ended(kind, "left", "", time);
         tracing::info!(
             part = "request",
             request = self.call.id.to_str().unwrap_or_default(),
--- a/crates/ebonylug-direct/src/lib.rs
+++ b/crates/ebonylug-direct/src/lib.rs
@@ -36,6 +36,7 @@
 mod pool;
 mod request;
 pub mod server;
+mod shown;
 mod state;
 mod stream;
 mod uptime;
--- a/crates/ebonylug-direct/src/peers.rs
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -228,6 +228,7 @@
         let mut peers = self.peers.borrow_mut();
         if leaving {
             peers.remove(&name);
+            tracing::info!(part = "peers", peer = %name, "entry left");
             return;
         }
         if joined {
--- a/crates/ebonylug-direct/src/state.rs
+++ b/crates/ebonylug-direct/src/state.rs
@@ -38,6 +38,20 @@
         self.scheduler.set_entries(self.peers.standing(now).known);
     }
 
+    /// Logs which entries are not heard any more, or again.
+    pub(crate) fn tell_peers(&mut self, now: Instant) {
+        for change in self.peers.changes(now) {
+            let standing = self.peers.standing(now);
+            let (heard, known) = (standing.heard, standing.known);
+            if change.lost {
+                let silent_ms = millis(change.silent);
+                tracing::warn!(part = "peers", peer = %change.entry, silent_ms, heard, known, "entry not heard");
+            } else {
+                tracing::info!(part = "peers", peer = %change.entry, heard, known, "entry heard again");
+            }
+        }
+    }
+
     /// Tells the scheduler what the other entries have told. Only decisions about targets need it, and
     /// there are fewer of them than messages.
     pub(crate) fn refresh(&mut self, now: Instant) {
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -155,13 +155,13 @@
                 Part::Broken(error) => error,
             };
             opened.grant.note(Outcome::Broken);
-            let job = &self.job;
-            job.entry
-                .note_broken(opened.grant.target(), job.call.content);
+            let (job, target) = (&self.job, opened.grant.target());
+            job.entry.note_broken(target, job.call.content);
             drop(opened);
             tracing::info!(
                 part = "stream",
-                request = self.job.call.id.to_str().unwrap_or_default(),
+                request = job.call.id.to_str().unwrap_or_default(),
+                target = job.entry.target(target).map(|t| t.name.as_str().to_owned()),
                 last = self.events.last,
                 %error,
                 "stream broke"
@@ -177,7 +177,8 @@
     fn break_off(&self, error: &str) {
         let call = &self.job.call;
         let instruments = &self.job.entry.instruments;
-        instruments.ended(Some(call.route.kind), "broken_off", "");
+        let time = call.arrived.elapsed();
+        instruments.ended(Some(call.route.kind), "broken_off", "", time);
         self.job.end();
         tracing::info!(
             part = "request",
@@ -228,7 +229,8 @@
         self.job.end();
         self.job.entry.note_finished(self.job.call.content);
         let kind = Some(self.job.call.route.kind);
-        self.job.entry.instruments.ended(kind, "served", "");
+        let time = self.job.call.arrived.elapsed();
+        self.job.entry.instruments.ended(kind, "served", "", time);
         opened.grant.note(Outcome::Answered);
         let first = self.events.begun.duration_since(opened.sent);
         opened.grant.set_slow(first > self.job.call.route.aim);
--- a/crates/ebonylug-direct/tests/common/mod.rs
+++ b/crates/ebonylug-direct/tests/common/mod.rs
@@ -290,6 +290,7 @@
     pub entry: Rc<Entry>,
     pub address: SocketAddr,
     pub time: Time,
+    pub bounds: Bounds,
     pub close: watch::Sender<bool>,
 }
 
@@ -328,6 +329,7 @@
                 body_memory: 1 << 20,
             },
         };
+        let bounds = settings.bounds;
         let clock = Arc::new(SystemClock);
         let entry = Entry::new(settings, dialect(), clock, Box::new(time.clone()), 1);
         let listener = server::listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
@@ -338,6 +340,7 @@
             entry,
             address,
             time,
+            bounds,
             close,
         }
     }
--- a/crates/ebonylug-direct/tests/copies.rs
+++ b/crates/ebonylug-direct/tests/copies.rs
@@ -93,7 +93,6 @@
             pace: Rc::new(Cell::new(pace)),
             clock: Arc::new(SystemClock),
             uptime: Box::new(Time::default()),
-            count: Box::new(|_| ()),
         };
         let tell = {
             let told = Rc::clone(&told);
--- a/crates/ebonylug-direct/tests/follow.rs
+++ b/crates/ebonylug-direct/tests/follow.rs
@@ -77,7 +77,6 @@
         pace: Rc::new(Cell::new(pace)),
         clock: Arc::new(ManualClock::new()),
         uptime: Box::new(Paused(tokio::time::Instant::now())),
-        count: Box::new(|_| ()),
     };
     let tell = |news: Told, _| {
         let (kind, rows) = match news {
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -106,6 +106,17 @@
     pub confirmed: Option<(u64, Duration)>,
 }
 
+/// An entry that is not heard any more, or is heard again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerChange {
+    /// The entry.
+    pub entry: Name,
+    /// Whether it is not heard any more.
+    pub lost: bool,
+    /// Time since its last message.
+    pub silent: Duration,
+}
+
 #[derive(Debug)]
 struct Peer {
     boot: u64,
@@ -115,6 +126,8 @@
     confirmed: Option<Duration>,
     heard: Instant,
     pause: Duration,
+    /// Whether [`Peers::changes`] has told that the entry is not heard.
+    lost: bool,
     /// The least difference between the time of receipt and the time of sending, in milliseconds.
     offset: i64,
     used: HashMap<u32, u64>,
@@ -169,6 +182,7 @@
             }),
             ..News::default()
         };
+        let known_lost = known.as_ref().is_some_and(|peer| peer.lost);
         let mut used = known
             .map(|peer| std::mem::take(&mut peer.used))
             .unwrap_or_default();
@@ -188,6 +202,7 @@
             confirmed: news.confirmed.map(|(_, time)| time),
             heard: now,
             pause: Duration::from_millis(u64::from(gossip.pause)),
+            lost: known_lost,
             used,
             running: gossip.running,
         };
@@ -202,6 +217,24 @@
         self.listed.retain(|_, time| recent(*time));
     }
 
+    /// Returns the entries that are not heard any more, and those that are heard again, since the last
+    /// call.
+    pub fn changes(&mut self, now: Instant) -> SmallVec<[PeerChange; 2]> {
+        let mut changes = SmallVec::new();
+        for (name, peer) in &mut self.peers {
+            let lost = !peer.is_heard(now);
+            if lost != peer.lost {
+                peer.lost = lost;
+                changes.push(PeerChange {
+                    entry: name.clone(),
+                    lost,
+                    silent: now.saturating_duration_since(peer.heard),
+                });
+            }
+        }
+        changes
+    }
+
     /// Returns how many entries there are, with this one.
     #[must_use]
     pub fn standing(&self, now: Instant) -> Standing {
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -1,4 +1,4 @@
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use ebonylug_core::Name;
@@ -273,6 +273,18 @@
         })
     }
 
+    /// Returns the slots of the targets of each service, and the requests of all entries there.
+    #[must_use]
+    pub fn services(&self) -> BTreeMap<Name, (u32, u32)> {
+        let mut services: BTreeMap<Name, (u32, u32)> = BTreeMap::new();
+        for known in self.targets.values() {
+            let (slots, running) = services.entry(known.info.service.clone()).or_default();
+            *slots += known.info.slots;
+            *running += known.load();
+        }
+        services
+    }
+
     /// Returns what operators are shown of all targets, by service and name.
     #[must_use]
     pub fn overview(&self, now: Instant) -> Vec<TargetOverview> {
