Add ebonylug-soak: random faults against the real programs

Ruled out: faults inside the programs. They come from outside: signals by process handle, a loopback proxy before each engine, and a stand-in of the store that refuses, resets, loses answers, is slow or silent, or forgets its history.

--- /dev/null
+++ b/crates/ebonylug-soak/src/engine.rs
@@ -0,0 +1,193 @@
+//! An engine, as a process of its own. It writes a line for each request that it begins to run.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonylug_adapter::headers;
+use ebonylug_direct::Dialect;
+use futures_util::stream::{self, Stream};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Either, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::notes::{Run, now};
+
+/// Requests at once; more are not run.
+const SLOTS: u32 = 12;
+/// Time for a whole answer, and from one event to the next.
+const STEP: Duration = Duration::from_millis(20);
+
+type Events = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, Infallible>>>>;
+type Body = Either<Full<Bytes>, StreamBody<Events>>;
+
+/// An engine.
+#[derive(Clone)]
+pub struct Engine {
+    name: Rc<str>,
+    dialect: Rc<Dialect>,
+    running: Rc<Cell<u32>>,
+}
+
+/// Frees a slot.
+struct Slot(Rc<Cell<u32>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Returns the whole answer to a request.
+#[must_use]
+pub fn answer(id: u64, size: u64) -> String {
+    format!("answer to {id:x};").repeat(usize::try_from(size).unwrap_or(1))
+}
+
+/// Returns an event of the answer to a request.
+#[must_use]
+pub fn event(id: u64, number: u64) -> String {
+    format!("id: {number}\ndata: piece {number} for {id:x}\n\n")
+}
+
+/// Returns the body of a request.
+#[must_use]
+pub fn question(id: u64) -> String {
+    format!("question {id:x}")
+}
+
+/// Serves entries for ever.
+///
+/// # Errors
+///
+/// Fails if the address cannot be used.
+pub async fn serve(name: &str, address: SocketAddr) -> std::io::Result<()> {
+    let engine = Engine {
+        name: name.into(),
+        dialect: Rc::new(headers::dialect()),
+        running: Rc::default(),
+    };
+    let listener = TcpListener::bind(address).await?;
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let engine = engine.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| {
+                let engine = engine.clone();
+                async move { Ok::<_, Infallible>(engine.run(request).await) }
+            });
+            // An error is an entry that has left.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+impl Engine {
+    async fn run(&self, request: Request<Incoming>) -> Response<Body> {
+        let (parts, body) = request.into_parts();
+        let text = |name: &HeaderName| parts.headers.get(name)?.to_str().ok();
+        let id = text(&self.dialect.request_id).and_then(|text| u64::from_str_radix(text, 16).ok());
+        let Some(id) = id else {
+            return self.refuse(0, StatusCode::BAD_REQUEST);
+        };
+        if text(&self.dialect.expected) != Some(&*self.name) {
+            return self.refuse(id, StatusCode::MISDIRECTED_REQUEST);
+        }
+        if self.running.get() >= SLOTS {
+            return self.refuse(id, StatusCode::SERVICE_UNAVAILABLE);
+        }
+        self.running.set(self.running.get() + 1);
+        let slot = Slot(Rc::clone(&self.running));
+        let body = body.collect().await.map(|body| body.to_bytes());
+        let after = text(&self.dialect.last_event).and_then(|text| text.parse().ok());
+        let run = Run {
+            id,
+            engine: self.name.to_string(),
+            at: now(),
+            after: after.unwrap_or(0),
+            wrong: wrong(&self.dialect, id, &parts.headers, body.as_deref().ok()),
+        };
+        note(&run);
+        let mut path = parts.uri.path().trim_start_matches('/').split('/');
+        let stream = path
+            .next()
+            .is_some_and(|word| word.contains("stream") || word.contains("resumable"));
+        let size = path.next().and_then(|text| text.parse().ok()).unwrap_or(1);
+        let body = if stream {
+            events(id, after.unwrap_or(0), size, slot)
+        } else {
+            tokio::time::sleep(STEP).await;
+            Either::Left(Full::new(answer(id, size).into()))
+        };
+        let mut response = Response::new(body);
+        let sign = HeaderValue::from_static("signed");
+        response.headers_mut().insert(&self.dialect.signature, sign);
+        self.echo(id, &mut response);
+        response
+    }
+
+    /// States that a request was not run.
+    fn refuse(&self, id: u64, status: StatusCode) -> Response<Body> {
+        let mut response = Response::new(Either::Left(Full::default()));
+        *response.status_mut() = status;
+        let yes = HeaderValue::from_static("1");
+        response.headers_mut().insert(&self.dialect.not_run, yes);
+        self.echo(id, &mut response);
+        response
+    }
+
+    fn echo(&self, id: u64, response: &mut Response<Body>) {
+        if let Ok(id) = HeaderValue::from_str(&format!("{id:x}")) {
+            response.headers_mut().insert(&self.dialect.request_id, id);
+        }
+    }
+}
+
+/// Returns what differs from what callers send.
+fn wrong(dialect: &Dialect, id: u64, headers: &HeaderMap, body: Option<&[u8]>) -> Option<String> {
+    if headers.contains_key(header::AUTHORIZATION) {
+        return Some("the key was passed on".into());
+    }
+    if !headers.contains_key(&dialect.deadline) {
+        return Some("no deadline".into());
+    }
+    match body {
+        // The entry has left before the body was whole.
+        None => None,
+        Some(body) if body == question(id).as_bytes() => None,
+        Some(body) => Some(format!("body {:?}", String::from_utf8_lossy(body))),
+    }
+}
+
+/// Sends events until the last one, or until the entry leaves.
+fn events(id: u64, after: u64, last: u64, slot: Slot) -> Body {
+    let events = stream::unfold((after, slot), move |(before, slot)| async move {
+        if before >= last {
+            return None;
+        }
+        tokio::time::sleep(STEP).await;
+        let frame = Frame::data(event(id, before + 1).into());
+        Some((Ok(frame), (before + 1, slot)))
+    });
+    Either::Right(StreamBody::new(Box::pin(events)))
+}
+
+/// Writes a line at once, so that it is not lost with the process.
+fn note(run: &Run) {
+    let mut line = serde_json::to_vec(run).unwrap_or_default();
+    line.push(b'\n');
+    let mut output = std::io::stdout().lock();
+    // Without a reader, the soak is gone, and this process soon is as well.
+    let _ = output.write_all(&line).and_then(|()| output.flush());
+}
--- /dev/null
+++ b/crates/ebonylug-soak/src/process.rs
@@ -0,0 +1,77 @@
+use std::os::fd::OwnedFd;
+use std::path::Path;
+use std::process::{ExitStatus, Stdio};
+
+use rustix::process::{Pid, PidfdFlags, Signal, pidfd_open, pidfd_send_signal};
+use tokio::process::{Child, ChildStdout, Command};
+
+use crate::{Error, Result};
+
+/// A process that this one has started. Dropping it kills it.
+#[derive(Debug)]
+pub(crate) struct Process {
+    child: Child,
+    handle: Handle,
+}
+
+/// Sends signals to one process. It names the process itself, not its number, which another may get.
+#[derive(Debug)]
+pub(crate) struct Handle(OwnedFd);
+
+impl Handle {
+    /// Sends a signal. Returns whether the process was still there.
+    pub(crate) fn signal(&self, signal: Signal) -> bool {
+        pidfd_send_signal(&self.0, signal).is_ok()
+    }
+
+    pub(crate) fn share(&self) -> Result<Self> {
+        let setup = |error| Error::Setup("a process handle".into(), error);
+        self.0.try_clone().map(Handle).map_err(setup)
+    }
+}
+
+impl Process {
+    /// Starts a program. Its standard output is appended to a file, or piped.
+    pub(crate) fn start(program: &Path, arguments: &[&str], log: Option<&Path>) -> Result<Self> {
+        let setup = |error| Error::Setup(program.display().to_string().into(), error);
+        let output = match log {
+            Some(path) => {
+                let mut options = std::fs::OpenOptions::new();
+                let file = options.create(true).append(true).open(path);
+                Stdio::from(file.map_err(setup)?)
+            }
+            None => Stdio::piped(),
+        };
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(setup)?;
+        let id = child
+            .id()
+            .and_then(|id| i32::try_from(id).ok())
+            .and_then(Pid::from_raw);
+        let id = id.ok_or_else(|| Error::Start("a process ended at its start".into()))?;
+        let handle = pidfd_open(id, PidfdFlags::empty()).map_err(|error| setup(error.into()))?;
+        Ok(Process {
+            child,
+            handle: Handle(handle),
+        })
+    }
+
+    /// Returns what a piped process writes.
+    pub(crate) fn output(&mut self) -> Option<ChildStdout> {
+        self.child.stdout.take()
+    }
+
+    pub(crate) fn handle(&self) -> &Handle {
+        &self.handle
+    }
+
+    /// Waits for the end.
+    pub(crate) async fn wait(&mut self) -> std::io::Result<ExitStatus> {
+        self.child.wait().await
+    }
+}
