--- a/crates/ebonylug-soak/src/caller.rs
+++ b/crates/ebonylug-soak/src/caller.rs
@@ -29,7 +29,7 @@
 pub(crate) const LIMIT: Duration = Duration::from_secs(3);
 /// Time after the limit at which a caller gives up. Answers are due half a second after the limit; the rest is
 /// for a machine with other work.
-const HUNG: Duration = Duration::from_secs(5);
+const HUNG: Duration = Duration::from_millis(1_500);
 /// The number of keys.
 pub(crate) const KEYS: usize = 10;
 /// The share of requests that callers leave early.
@@ -88,7 +88,16 @@
     while !*stop.borrow_and_update() {
         tokio::time::sleep(PAUSE.mul_f64(rng.random_range(0.2..1.8))).await;
         if open.as_ref().is_none_or(|open| open.sender.is_closed()) {
-            open = connect(&shared, rng.random()).await;
+            open = match connect(&shared, rng.random()).await {
+                Connected::Open(open) => Some(open),
+                Connected::Refused(entry) => {
+                    let _ = shared
+                        .asks
+                        .send(Plan::draw(&shared, &mut rng).refused(entry));
+                    None
+                }
+                Connected::No => None,
+            };
         }
         let Some(connection) = &mut open else {
             continue;
@@ -103,22 +112,49 @@
     }
 }
 
-async fn connect(shared: &Shared, draw: u64) -> Option<Open> {
-    let (place, (address, start)) = {
+/// What became of a connection.
+enum Connected {
+    Open(Open),
+    /// The entry, which the balancer still names, refused it.
+    Refused((usize, u32)),
+    No,
+}
+
+async fn connect(shared: &Shared, draw: u64) -> Connected {
+    let chosen = {
         let entries = shared.entries.borrow();
         let number = (draw as usize) % entries.len().max(1);
-        let (place, entry) = entries.iter().nth(number)?;
-        (*place, *entry)
+        entries
+            .iter()
+            .nth(number)
+            .map(|(place, entry)| (*place, *entry))
+    };
+    let Some((place, (address, start))) = chosen else {
+        return Connected::No;
     };
     let stream = tokio::time::timeout(Duration::from_secs(1), TcpStream::connect(address));
-    let stream = stream.await.ok()?.ok()?;
-    stream.set_nodelay(true).ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let stream = match stream.await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            let named = shared.entries.borrow().get(&place) == Some(&(address, start));
+            return if named {
+                Connected::Refused((place, start))
+            } else {
+                Connected::No
+            };
+        }
+        Ok(Err(_)) | Err(_) => return Connected::No,
+    };
+    // Without it, small parts only arrive later.
+    let _ = stream.set_nodelay(true);
+    let Ok((sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
+        return Connected::No;
+    };
     let task = tokio::spawn(async move {
         // The request sees the error as well.
         let _ = connection.await;
     });
-    Some(Open {
+    Connected::Open(Open {
         entry: (place, start),
         sender,
         task,
@@ -152,13 +188,27 @@
             sort: if route > 0 { Sort::Safe } else { sort },
             route,
             key: rng.random_range(0..KEYS),
-            size: rng.random_range(1..40),
+            size: rng.random_range(1..100),
             leave: rng
                 .random_bool(LEAVE)
                 .then(|| Duration::from_millis(rng.random_range(1..300))),
         }
     }
 
+    /// Returns what came of a request for which there was no connection.
+    fn refused(self, entry: (usize, u32)) -> Ask {
+        Ask {
+            id: self.id,
+            sort: self.sort,
+            route: self.route,
+            entry,
+            key: self.key,
+            sent: now(),
+            ended: now(),
+            end: End::Refused,
+        }
+    }
+
     fn path(&self) -> String {
         match self.route {
             0 => format!("/{}/{}", self.sort.as_str(), self.size),
--- a/crates/ebonylug-soak/src/ledger.rs
+++ b/crates/ebonylug-soak/src/ledger.rs
@@ -186,7 +186,7 @@
                     format!("{} ran", self.shown(ask))
                 });
             }
-            End::Status { .. } | End::Left | End::Unsent | End::Hung => {}
+            End::Status { .. } | End::Left | End::Unsent | End::Refused | End::Hung => {}
         }
         let entry = ask.entry.0;
         let alive = self.calm(ask.sent.saturating_sub(1_000), ask.ended, |what| {
@@ -194,6 +194,7 @@
         });
         if alive {
             judge.check(Promise::Answered, ask.end != End::Hung, || self.shown(ask));
+            judge.check(Promise::Kept, ask.end != End::Refused, || self.shown(ask));
             let engines = self.calm(ask.sent.saturating_sub(CONTACT), ask.ended, |what| {
                 what == Trouble::Engine
             });
--- a/crates/ebonylug-soak/src/notes.rs
+++ b/crates/ebonylug-soak/src/notes.rs
@@ -69,6 +69,8 @@
     Left,
     /// The connection was closed before the request was sent.
     Unsent,
+    /// The entry refused the connection, though the balancer still sends new ones.
+    Refused,
     /// No whole answer came long after the time limit.
     Hung,
 }
--- a/crates/ebonylug-soak/src/play.rs
+++ b/crates/ebonylug-soak/src/play.rs
@@ -4,11 +4,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use ebonylug_adapter::standin::{self, Fault as StoreFault};
+use ebonylug_adapter::standin::Fault as StoreFault;
 use ebonylug_dispatch::{Target, TargetState};
 use rustix::process::Signal;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -113,7 +111,7 @@
 /// Waits until an entry says that it is ready.
 async fn wait_ready(address: SocketAddr) -> Result<()> {
     let asked = tokio::time::timeout(START, async {
-        while !is_ready(address).await.unwrap_or(false) {
+        while !world::is_ready(address).await.unwrap_or(false) {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     });
@@ -121,16 +119,6 @@
     asked.await.map_err(|_| late())
 }
 
-async fn is_ready(address: SocketAddr) -> std::io::Result<bool> {
-    let path = ebonylug_adapter::headers::dialect().ready_path;
-    let mut stream = TcpStream::connect(address).await?;
-    let request = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
-    stream.write_all(request.as_bytes()).await?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).await?;
-    Ok(answer.starts_with("HTTP/1.1 200"))
-}
-
 /// Carries an event out at its time.
 async fn cause(world: Arc<World>, shared: Arc<Shared>, begun: Instant, event: Event) {
     tokio::time::sleep_until(begun + event.at).await;
@@ -183,8 +171,9 @@
         }
         Fault::Break(n) => harm(&world, n, Mode::Reset, lasts).await,
         Fault::Delay(n) => harm(&world, n, Mode::Delay(Duration::from_millis(200)), lasts).await,
-        Fault::Mute(n) => harm(&world, n, Mode::Mute, lasts).await,
-        Fault::OneWay(n) => harm(&world, n, Mode::OneWay, lasts).await,
+        // Longer than the time limit of requests, mostly.
+        Fault::Mute(n) => harm(&world, n, Mode::Mute, lasts * 2).await,
+        Fault::OneWay(n) => harm(&world, n, Mode::OneWay, lasts * 2).await,
         Fault::Route => {
             let version = world.add_route();
             shared.newest.fetch_max(version, Ordering::Relaxed);
@@ -263,7 +252,7 @@
     world.signal_engine(place, &row.name, Signal::KILL);
     world.add_engine(place).await?;
     tokio::time::sleep(ROW_GONE).await;
-    world.rows.remove("servers", row.name.as_str());
+    world.rows.remove_target(&row.name);
     Ok(())
 }
 
@@ -273,35 +262,33 @@
     // The proxy serves as long as the engine does.
     let (row, proxy) = world.engine(place);
     let handle = world.engine_handle(place)?;
-    let name = row.name.to_string();
+    let name = row.name.clone();
     if notice {
-        let leaving = Target {
+        world.rows.put_target(&Target {
             state: TargetState::Leaving,
             ..row
-        };
-        world.rows.put("servers", &name, standin::target(&leaving));
+        });
     } else {
-        world.rows.remove("servers", &name);
+        world.rows.remove_target(&name);
     }
     world.note(Change::Leaves {
-        engine: name.clone(),
+        engine: name.to_string(),
     });
     world.add_engine(place).await?;
     tokio::time::sleep(LEAVES).await;
     world.trouble(Trouble::Engine, Duration::from_millis(100));
     handle.signal(Signal::KILL);
     drop(proxy);
-    world.rows.remove("servers", &name);
+    world.rows.remove_target(&name);
     Ok(())
 }
 
 async fn drain(world: &World, number: usize, lasts: Duration) {
     let (row, _) = world.engine(number);
     let engines = world.engines_of(&row.zone);
-    let order = format!("evacuate/{}", row.zone);
-    world.rows.put("op", &order, b"{}".to_vec());
+    world.rows.drain(&row.zone);
     world.note(Change::Drained { engines });
     tokio::time::sleep(lasts + DRAINED).await;
-    world.rows.remove("op", &order);
+    world.rows.restore(&row.zone);
     world.note(Change::Restored);
 }
--- a/crates/ebonylug-soak/src/report.rs
+++ b/crates/ebonylug-soak/src/report.rs
@@ -46,6 +46,7 @@
         End::Cut { .. } => "cut".into(),
         End::Left => "left".into(),
         End::Unsent => "unsent".into(),
+        End::Refused => "connection refused".into(),
         End::Hung => "hung".into(),
     }
 }
--- a/crates/ebonylug-soak/src/world.rs
+++ b/crates/ebonylug-soak/src/world.rs
@@ -14,7 +14,8 @@
 };
 use rustix::process::Signal;
 use smallvec::smallvec;
-use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use crate::caller::{HOST, KEYS, LIMIT, key};
@@ -230,7 +231,7 @@
     /// Writes the configuration, and returns its version.
     fn publish(&self) -> u64 {
         let draft = lock(&self.draft);
-        self.rows.put("op", "config", standin::config(&draft));
+        self.rows.put_config(&draft);
         draft.version
     }
 
@@ -321,7 +322,7 @@
             let _ = process.wait().await;
         });
         self.wait_for(address).await?;
-        self.rows.put("servers", &name, standin::target(&row));
+        self.rows.put_target(&row);
         let engine = Engine {
             row,
             proxy: Arc::new(proxy),
@@ -338,7 +339,7 @@
     async fn wait_for(&self, address: SocketAddr) -> Result<()> {
         const TRIES: u32 = 1_000;
         for _ in 0..TRIES {
-            if tokio::net::TcpStream::connect(address).await.is_ok() {
+            if TcpStream::connect(address).await.is_ok() {
                 return Ok(());
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -407,21 +408,33 @@
         *lock(&entry.handle) = Some(process.handle().share()?);
         entry.stopped.store(false, Ordering::Relaxed);
         entry.killed.store(false, Ordering::Relaxed);
-        let start = {
-            let mut start = lock(&entry.start);
-            *start += 1;
-            *start
-        };
-        let listen = lock(&entry.spec).listen;
-        self.open.send_modify(|open| {
-            open.insert(place, (listen, start));
-        });
+        *lock(&entry.start) += 1;
         Ok(process)
     }
 
+    /// Tells callers of an entry as soon as it says that it is ready, as the balancer does.
+    async fn open_when_ready(self: Arc<Self>, place: usize) {
+        let entry = &self.entries[place];
+        let start = *lock(&entry.start);
+        let (listen, ready) = {
+            let spec = lock(&entry.spec);
+            (spec.listen, spec.ready)
+        };
+        while self.lives(place, start) {
+            if is_ready(ready).await.unwrap_or(false) {
+                self.open.send_modify(|open| {
+                    open.insert(place, (listen, start));
+                });
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Waits for the end of an entry, judges it, and starts the entry again, until the play closes.
     async fn supervise(self: Arc<Self>, place: usize, mut process: Process) {
         loop {
+            tokio::spawn(Arc::clone(&self).open_when_ready(place));
             let end = process.wait().await;
             let entry = &self.entries[place];
             *lock(&entry.handle) = None;
@@ -518,6 +531,17 @@
     Ok((spec, gate))
 }
 
+/// Asks an entry whether it is ready.
+pub(crate) async fn is_ready(address: SocketAddr) -> std::io::Result<bool> {
+    let path = ebonylug_adapter::headers::dialect().ready_path;
+    let mut stream = TcpStream::connect(address).await?;
+    let request = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer.starts_with("HTTP/1.1 200"))
+}
+
 /// Makes an empty folder.
 pub(crate) fn folder(path: &Path) -> Result<()> {
     let setup = |error| Error::Setup(path.display().to_string().into(), error);
