Log a sample of the requests that are served in time, late answers and failures of targets

Cause: a whole answer that was late, and a failure of a target that was passed on, left no line that names the request's end; requests that went well left none at all. Change: they do; of those in time one of 100. ebonylugctl explain knows the lines.

--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -21,6 +21,8 @@
 use crate::state::State;
 use crate::uptime::Uptime;
 
+/// One of so many requests that are served in time gets a line in the log; all others get one.
+const SAMPLE: u64 = 100;
 /// Time from one span in which messages hold the known crashes to the next.
 const CRASHES_REPEAT: Duration = Duration::from_secs(8);
 /// The length of such a span, in which each other entry gets a message.
@@ -65,6 +67,8 @@
     /// Whether the entry serves nobody any more.
     pub(crate) stopped: Cell<bool>,
     pub(crate) active: Cell<usize>,
+    /// Requests that were served in time.
+    served: Cell<u64>,
     pub(crate) state: RefCell<State>,
     boot: u64,
     started: Instant,
@@ -114,6 +118,7 @@
             stopping: Cell::new(false),
             stopped: Cell::new(false),
             active: Cell::new(0),
+            served: Cell::new(0),
             state: RefCell::new(state),
             boot,
         })
@@ -406,6 +411,13 @@
         self.pool.give_back(lease, most);
     }
 
+    /// Counts a request that was served in time. Reports whether it is one of those that get a line in the log.
+    pub(crate) fn is_sampled(&self) -> bool {
+        let served = self.served.get();
+        self.served.set(served + 1);
+        served.is_multiple_of(SAMPLE)
+    }
+
     /// Returns a number that changes with each request that is sent or ends.
     pub(crate) fn load_changes(&self) -> u64 {
         self.state.borrow().scheduler.changes()
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -176,6 +176,7 @@
         ran: 0,
         unrun: 0,
         quota,
+        queue: Cell::default(),
         ended: Cell::new(false),
         _active: active,
     };
@@ -189,6 +190,7 @@
             let outcome = if failed { "failed_by_target" } else { "served" };
             let time = job.call.arrived.elapsed();
             entry.instruments.ended(trace.kind, outcome, "", time);
+            job.tell_whole(head.status, trace);
             let mut answer = Response::new(Either::Left(Full::new(body)));
             *answer.status_mut() = head.status;
             *answer.headers_mut() = request::returned(&head.headers);
@@ -265,6 +267,8 @@
     /// Attempts that did not run.
     unrun: u32,
     quota: Option<Spent>,
+    /// Time from the arrival to the last send.
+    queue: Cell<Duration>,
     /// Whether the entry knows how the request ended.
     ended: Cell<bool>,
     _active: Active,
@@ -350,6 +354,7 @@
                 Err(refusal) if self.ran == 0 => return Err(Rejection::Refused(refusal)),
                 Err(_) => return Err(bad_gateway()),
             };
+            self.queue.set(self.call.arrived.elapsed());
             self.tried.push(grant.target());
             if let Some(quota) = &self.quota {
                 // A request that a target did not run counts all the same: the caller's next one
@@ -382,6 +387,34 @@
         Ok(Begun::Whole(head, body))
     }
 
+    /// Logs a whole answer that is a target's failure or late, and a sample of the others.
+    fn tell_whole(&self, status: StatusCode, trace: &Trace) {
+        let message = match self.call.arrived.elapsed() {
+            _ if status.is_server_error() => "failed by target",
+            time if time > self.call.route.aim => "late answer",
+            _ if self.entry.is_sampled() => "served",
+            _ => return,
+        };
+        tracing::info!(
+            part = "request",
+            request = trace.request,
+            route = %self.call.route.name,
+            target = self.target(),
+            status = status.as_u16(),
+            queue_ms = millis(self.queue.get()),
+            total_ms = millis(self.call.arrived.elapsed()),
+            attempts = self.tried.len(),
+            config = trace.config,
+            "{message}"
+        );
+    }
+
+    /// Returns the name of the last target.
+    fn target(&self) -> Option<String> {
+        let target = self.entry.target(*self.tried.last()?)?;
+        Some(target.name.as_str().to_owned())
+    }
+
     /// Logs and counts a failed attempt.
     fn note(&self, failure: &Failure) {
         self.entry.instruments.failed(failure.cause());
@@ -389,7 +422,7 @@
             part = "attempt",
             request = self.call.id.to_str().unwrap_or_default(),
             route = %self.call.route.name,
-            target = self.tried.last().and_then(|&key| self.entry.target(key)).map(|t| t.name.as_str().to_owned()),
+            target = self.target(),
             ?failure,
             ran = failure.may_have_run(),
             attempts = self.tried.len(),
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -199,7 +199,7 @@
         self.opened.is_some()
     }
 
-    /// Logs a stream that was late, with what it waited for.
+    /// Logs a stream that was late, with what it waited for, and a sample of the others.
     fn tell(&self, opened: &Opened) {
         let call = &self.job.call;
         let gap = match call.route.kind {
@@ -207,7 +207,8 @@
             Kind::Safe | Kind::Once => return,
         };
         let first = self.events.begun.duration_since(call.arrived);
-        if first <= call.route.aim && self.events.pause <= gap {
+        let late = first > call.route.aim || self.events.pause > gap;
+        if !late && !self.job.entry.is_sampled() {
             return;
         }
         tracing::info!(
@@ -220,7 +221,8 @@
             pause_ms = millis(self.events.pause),
             events = self.events.count,
             attempts = self.job.attempts(),
-            "late stream"
+            "{}",
+            if late { "late stream" } else { "served stream" }
         );
     }
 
--- a/crates/ebonylug-direct/tests/logs.rs
+++ b/crates/ebonylug-direct/tests/logs.rs
@@ -127,6 +127,11 @@
         assert_eq!(status(&world.call(&get("once", "r2")).await), 503);
         assert_eq!(status(&world.call(&get("safe", "r3")).await), 500);
         assert_eq!(status(&world.call(&get("nowhere", "r4")).await), 404);
+        let sound = Scripted::start("engine-2", vec![Act::Send(success("r9", "a"))]).await;
+        let served = World::start(&[&sound]).await;
+        // The first one that is served in time is one of the sample, the second one is not.
+        assert_eq!(status(&served.call(&get("safe", "r9")).await), 200);
+        assert_eq!(status(&served.call(&get("safe", "r9")).await), 200);
         let quota = Quota {
             rate: 1e-3,
             burst: 1.0,
--- a/crates/ebonylugctl/src/explain.rs
+++ b/crates/ebonylugctl/src/explain.rs
@@ -47,6 +47,20 @@
         match last.message() {
             "not served" => self.not_served(last),
             "late stream" => late(last),
+            "late answer" => {
+                let (queue, total) = (last.number("queue_ms"), last.number("total_ms"));
+                let target = last.shown("target");
+                if queue > total / 2 {
+                    format!("the request waited {queue} ms for a target with room")
+                } else {
+                    format!("the target {target} took {} ms to answer", total.saturating_sub(queue))
+                }
+            }
+            "failed by target" => {
+                let (target, status) = (last.shown("target"), last.shown("status"));
+                format!("the target {target} answered with status {status}")
+            }
+            "served" | "served stream" => "it was served in time".into(),
             "broken off" => format!("the stream broke: {}", last.shown("error")),
             "caller left" => self.left(last),
             _ => format!("the last line says: {}", last.message()),
--- a/crates/ebonylugctl/tests/explain.rs
+++ b/crates/ebonylugctl/tests/explain.rs
@@ -11,6 +11,9 @@
 {"timestamp":"T5","level":"INFO","message":"late stream","part":"stream","request":"d4","route":"r-3","target":"i-9","queue_ms":700,"first_ms":900,"pause_ms":40,"events":13,"attempts":1}
 {"timestamp":"T6","level":"INFO","message":"late stream","part":"stream","request":"e5","route":"r-3","target":"i-9","queue_ms":7,"first_ms":90,"pause_ms":400,"events":13,"attempts":1}
 {"timestamp":"T7","level":"INFO","message":"caller left","part":"request","request":"f6","route":"r-3","waited_ms":2400,"attempts":1}
+{"timestamp":"T8","level":"INFO","message":"late answer","part":"request","request":"a7","route":"r-4","target":"i-9","status":200,"queue_ms":5,"total_ms":405,"attempts":1,"config":7}
+{"timestamp":"T8","level":"INFO","message":"failed by target","part":"request","request":"a8","route":"r-4","target":"i-9","status":500,"queue_ms":5,"total_ms":9,"attempts":1,"config":7}
+{"timestamp":"T9","level":"INFO","message":"served","part":"request","request":"a9","route":"r-4","target":"i-9","status":200,"queue_ms":5,"total_ms":9,"attempts":1,"config":7}
 not a line of a log
 {"timestamp":
 "#;
@@ -40,6 +43,9 @@
         ("c3", "the target i-9 took 888 ms to begin"),
         ("d4", "the request waited 700 ms for a target with room"),
         ("e5", "the target i-9 paused for 400 ms between events"),
+        ("a7", "the target i-9 took 400 ms to answer"),
+        ("a8", "the target i-9 answered with status 500"),
+        ("a9", "it was served in time"),
         (
             "f6",
             "the caller left after 2400 ms; no attempt failed before",
