Leave the paces of targets out of most messages between entries

Cause: a message between entries held one record for each target whose pace the entry had measured, so that its size grew with the targets, and most of the bytes said again what had not changed.

Ruled out: telling less often; loads that are older than the pause lead entries to the same target.

Change: loads name only targets that run something of the entry's own; paces are told once a second, kept by the receiver for four seconds, and have a test.

--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -469,7 +469,8 @@
     pub(crate) fn gossip(&self) -> Gossip {
         let mut state = self.state.borrow_mut();
         state.sequence += 1;
-        let running = state.scheduler.own(self.clock.now()).collect();
+        let running = state.scheduler.own().collect();
+        let paces = state.scheduler.paces(self.clock.now()).collect();
         let (moves, evidence) = state.moves.news(self.uptime.uptime());
         Gossip {
             entry: self.name.as_str().into(),
@@ -485,6 +486,7 @@
             age: u32::try_from(self.age().as_millis()).unwrap_or(u32::MAX),
             usage: state.quotas.usage().collect(),
             running,
+            paces,
             moves,
             evidence,
             crashes: state.crashes.log().clone(),
--- a/crates/ebonylug-direct/src/peers.rs
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -10,6 +10,7 @@
 use ebonylug_admission::CrashLog;
 use ebonylug_core::Name;
 use ebonylug_dispatch::Gossip;
+use smallvec::SmallVec;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
@@ -25,6 +26,8 @@
 const FAR_PAUSE: Duration = Duration::from_millis(5);
 /// Time between two messages while nothing changes, unless the pauses above are longer.
 const QUIET_PAUSE: Duration = Duration::from_millis(150);
+/// Time between two messages with the paces of targets. A pace is used for four seconds after it was measured.
+const PACES_PAUSE: Duration = Duration::from_secs(1);
 /// Time between two messages to addresses at which nobody was heard yet.
 const GREET_PAUSE: Duration = Duration::from_millis(300);
 /// Bytes of a datagram.
@@ -37,13 +40,13 @@
     peers: RefCell<HashMap<Name, Peer>>,
 }
 
-/// Addresses that get a message.
-#[derive(Debug, Default)]
-struct Due {
-    /// With the use of quotas.
-    whole: Vec<SocketAddr>,
-    /// Without it.
-    loads: Vec<SocketAddr>,
+/// What a message holds besides loads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Content {
+    /// The use of quotas.
+    quotas: bool,
+    /// The paces of targets.
+    paces: bool,
 }
 
 /// Another entry.
@@ -57,6 +60,8 @@
     told: Instant,
     /// When it was told the use of quotas.
     quotas: Instant,
+    /// When it was told the paces of targets.
+    paces: Instant,
 }
 
 impl Exchange {
@@ -135,27 +140,37 @@
     /// Sends a message to each other entry that is due for one, or to all.
     pub async fn tell(&self, all: bool) {
         let due = self.due(all);
-        if due.loads.is_empty() && due.whole.is_empty() {
+        if due.is_empty() {
             return;
         }
         let entries = self.peers.borrow().len();
         let longest = pause(FAR_PAUSE, entries).max(QUIET_PAUSE) + MIN_PAUSE;
         let mut gossip = self.entry.gossip();
+        gossip.pause = u32::try_from(longest.as_millis()).unwrap_or(u32::MAX);
         if !(all || self.entry.tells_crashes()) {
             gossip.crashes = CrashLog::new();
         }
-        gossip.pause = u32::try_from(longest.as_millis()).unwrap_or(u32::MAX);
-        self.send_to(&gossip, &due.whole).await;
-        gossip.usage.clear();
-        gossip.crashes = CrashLog::new();
-        self.send_to(&gossip, &due.loads).await;
+        // What is left out of one message is left out of all that follow.
+        for (quotas, paces) in [(true, true), (true, false), (false, false)] {
+            if !paces {
+                gossip.paces.clear();
+            }
+            if !quotas {
+                gossip.usage.clear();
+                gossip.crashes = CrashLog::new();
+            }
+            let content = Content { quotas, paces };
+            let due = due.iter().filter(|(_, due)| *due == content);
+            let addresses: SmallVec<[SocketAddr; 8]> = due.map(|(address, _)| *address).collect();
+            self.send_to(&gossip, &addresses).await;
+        }
     }
 
-    /// Chooses the entries that get a message now.
-    fn due(&self, all: bool) -> Due {
+    /// Chooses the entries that get a message now, and what it holds.
+    fn due(&self, all: bool) -> SmallVec<[(SocketAddr, Content); 8]> {
         let now = Instant::now();
         let changes = self.entry.load_changes();
-        let mut due = Due::default();
+        let mut due = SmallVec::new();
         let mut peers = self.peers.borrow_mut();
         let near = peers.values().filter(|peer| peer.near).count();
         let pauses = [pause(NEAR_PAUSE, near), pause(FAR_PAUSE, peers.len())];
@@ -169,13 +184,16 @@
             }
             peer.told = now;
             peer.changes = changes;
-            // Quotas change slowly next to loads.
-            if all || now.duration_since(peer.quotas) >= quiet {
+            // Paces are told with quotas, so that there are three kinds of messages and not four.
+            let paces = all || now.duration_since(peer.paces) >= PACES_PAUSE.max(quiet);
+            let quotas = paces || now.duration_since(peer.quotas) >= quiet;
+            if paces {
+                peer.paces = now;
+            }
+            if quotas {
                 peer.quotas = now;
-                due.whole.push(peer.address);
-            } else {
-                due.loads.push(peer.address);
             }
+            due.push((peer.address, Content { quotas, paces }));
         }
         due
     }
@@ -249,6 +267,7 @@
             changes: 0,
             told: now,
             quotas: now,
+            paces: now,
         }
     }
 }
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -17,6 +17,9 @@
 /// An entry that was not heard for this long is gone. Partitions are shorter, mostly.
 const KNOWN: Duration = Duration::from_secs(30);
 
+/// Age up to which the paces that an entry told are used; it tells them again each second or so.
+const PACES_AGE: Duration = Duration::from_secs(4);
+
 /// The unit of paces in messages, in seconds.
 pub(crate) const PACE_UNIT: f64 = 1e-4;
 
@@ -29,12 +32,19 @@
     pub requests: u16,
     /// Prompt tokens of those that have produced nothing yet.
     pub prefill: u32,
-    /// The mean time for a unit of work that the entry measured, in tenths of a millisecond; 0 if none.
-    pub pace: u16,
     /// Whether the entry gives the target nothing but trials, after breaks.
     pub resting: bool,
 }
 
+/// The mean time for a unit of work at one target, as one entry measured it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Paced {
+    /// The short hash of the target's name.
+    pub target: u32,
+    /// The time, in tenths of a millisecond.
+    pub pace: u16,
+}
+
 /// What an entry tells the others, several times per second. Each message states totals, so that a
 /// lost one does no harm.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -64,6 +74,9 @@
     pub usage: Vec<Usage>,
     /// Its requests at targets.
     pub running: Vec<Running>,
+    /// The paces that it has measured lately; left out of most messages, since they change slowly and there are
+    /// as many as targets.
+    pub paces: Vec<Paced>,
     /// The moves in force.
     pub moves: Vec<MoveNews>,
     /// Its own recent evidence about versions in a move.
@@ -132,6 +145,8 @@
     offset: i64,
     used: HashMap<u32, u64>,
     running: Vec<Running>,
+    /// The paces that it told last, and when.
+    paces: (Vec<Paced>, Instant),
 }
 
 /// What the other entries have told.
@@ -183,9 +198,16 @@
             ..News::default()
         };
         let known_lost = known.as_ref().is_some_and(|peer| peer.lost);
-        let mut used = known
-            .map(|peer| std::mem::take(&mut peer.used))
-            .unwrap_or_default();
+        let (mut used, mut paces) = match known {
+            Some(peer) => (
+                std::mem::take(&mut peer.used),
+                (std::mem::take(&mut peer.paces.0), peer.paces.1),
+            ),
+            None => (HashMap::new(), (Vec::new(), now)),
+        };
+        if !gossip.paces.is_empty() {
+            paces = (gossip.paces, now);
+        }
         for usage in &gossip.usage {
             let before = used.insert(usage.organisation, usage.used);
             if !news.joined {
@@ -205,6 +227,7 @@
             lost: known_lost,
             used,
             running: gossip.running,
+            paces,
         };
         self.peers.insert(entry, peer);
         Some(news)
@@ -272,10 +295,12 @@
                 sum.requests += u32::from(running.requests);
                 sum.prefill = sum.prefill.saturating_add(running.prefill);
                 sum.resting += u32::from(running.resting);
-                if running.pace > 0 {
-                    sum.pace += f64::from(running.pace) * PACE_UNIT;
-                    sum.paces += 1;
-                }
+            }
+            let recent = now.saturating_duration_since(peer.paces.1) < PACES_AGE;
+            for paced in peer.paces.0.iter().filter(|_| recent) {
+                let sum = sums.entry(paced.target).or_default();
+                sum.pace += f64::from(paced.pace) * PACE_UNIT;
+                sum.paces += 1;
             }
         }
         sums
--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -43,7 +43,7 @@
 pub use config::{Config, Draft, Kind, Limits, Organisation, Quota, Route, Service};
 pub use crashes::Crashes;
 pub use freshness::Freshness;
-pub use gossip::{Gossip, MoveNews, PeerChange, Peers, Running, Usage};
+pub use gossip::{Gossip, MoveNews, Paced, PeerChange, Peers, Running, Usage};
 pub use hash::hash_of;
 pub use health::{Change, Outcome};
 pub use overview::{Overview, TargetOverview};
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::cold::ColdRate;
-use crate::gossip::{PACE_UNIT, Running};
+use crate::gossip::{PACE_UNIT, Paced, Running};
 use crate::hash::{hash_of, mix, short, unit};
 use crate::health::{Change, Health, Outcome};
 use crate::overview::TargetOverview;
@@ -217,17 +217,26 @@
         }
     }
 
-    /// Returns what this entry has to say of targets.
-    pub fn own(&self, now: Instant) -> impl Iterator<Item = Running> {
-        self.targets.values().filter_map(move |known| {
-            let pace = known.recent_pace(now);
+    /// Returns what this entry has to say of the load of targets.
+    pub fn own(&self) -> impl Iterator<Item = Running> {
+        self.targets.values().filter_map(|known| {
             let resting = known.health.on_trial();
-            (known.own > 0 || pace.is_some() || resting).then(|| Running {
+            (known.own > 0 || resting).then(|| Running {
                 resting,
                 target: short(known.hash),
                 requests: u16::try_from(known.own).unwrap_or(u16::MAX),
                 prefill: known.prefill,
-                pace: pace.map_or(0, |pace| (pace / PACE_UNIT).clamp(1.0, 65_535.0) as u16),
+            })
+        })
+    }
+
+    /// Returns the paces of targets that this entry has measured lately.
+    pub fn paces(&self, now: Instant) -> impl Iterator<Item = Paced> {
+        self.targets.values().filter_map(move |known| {
+            let pace = known.recent_pace(now)?;
+            Some(Paced {
+                target: short(known.hash),
+                pace: (pace / PACE_UNIT).clamp(1.0, f64::from(u16::MAX)) as u16,
             })
         })
     }
--- a/crates/ebonylug-dispatch/tests/limits.rs
+++ b/crates/ebonylug-dispatch/tests/limits.rs
@@ -4,8 +4,8 @@
 
 use ebonylug_core::Name;
 use ebonylug_dispatch::{
-    Config, Draft, Freshness, Gossip, Limits, Organisation, Peers, Quota, Quotas, RetryBudget,
-    RetryRule, Standing, Usage,
+    Config, Draft, Freshness, Gossip, Limits, Organisation, Paced, Peers, Quota, Quotas,
+    RetryBudget, RetryRule, Standing, Usage,
 };
 
 const RATE: f64 = 1_000.0;
@@ -361,3 +361,32 @@
     let quota = RATE * (TICK * TICKS).as_secs_f64();
     assert!(tokens >= quota * 0.95, "{tokens} of {quota}: {served:?}");
 }
+
+/// Guards against paces that are lost with each message that leaves them out, and against old ones that stay when
+/// an entry measures none any more.
+#[test]
+fn paces_outlast_the_messages_that_leave_them_out() {
+    let start = Instant::now();
+    let mut peers = Peers::default();
+    let mut tell = |after: u64, paces: Vec<Paced>| {
+        let now = start + Duration::from_millis(after);
+        let gossip = Gossip {
+            entry: "entry-2".into(),
+            sequence: after + 1,
+            pause: 1_000,
+            paces,
+            ..Gossip::default()
+        };
+        peers.hear(now, Duration::from_millis(after), gossip);
+        let told = peers.running(now);
+        told.get(&7).map_or(0, |others| others.paces)
+    };
+    let paced = Paced {
+        target: 7,
+        pace: 50,
+    };
+    assert_eq!(tell(0, vec![paced]), 1);
+    assert_eq!(tell(1_000, vec![]), 1);
+    assert_eq!(tell(3_900, vec![]), 1);
+    assert_eq!(tell(4_100, vec![]), 0);
+}
--- a/crates/ebonylug-dispatch/tests/scheduler.rs
+++ b/crates/ebonylug-dispatch/tests/scheduler.rs
@@ -325,7 +325,7 @@
     assert_eq!(sent(first.ask(now, ask(0))), Some(crashed));
     first.ended(now, crashed, Outcome::Unreachable, None);
     let told: HashMap<u32, Others> = first
-        .own(now)
+        .own()
         .map(|running| {
             let resting = u32::from(running.resting);
             (
--- a/crates/ebonylugctl/src/explain.rs
+++ b/crates/ebonylugctl/src/explain.rs
@@ -53,7 +53,10 @@
                 if queue > total / 2 {
                     format!("the request waited {queue} ms for a target with room")
                 } else {
-                    format!("the target {target} took {} ms to answer", total.saturating_sub(queue))
+                    format!(
+                        "the target {target} took {} ms to answer",
+                        total.saturating_sub(queue)
+                    )
                 }
             }
             "failed by target" => {
