--- a/crates/ebonylug-direct/src/copies.rs
+++ b/crates/ebonylug-direct/src/copies.rs
@@ -58,12 +58,8 @@
 
     /// Asks another entry which entries it hears, and adds them to those that this one talks to.
     pub async fn find_entries(&self) {
-        for row in self
-            .ask(ENTRIES, 0)
-            .await
-            .into_iter()
-            .flat_map(|rows| rows.rows)
-        {
+        let rows = self.ask(ENTRIES, 0).await;
+        for row in rows.into_iter().flat_map(|rows| rows.rows) {
             let address = row.value.as_deref().map(String::from_utf8_lossy);
             if let Some(Ok(address)) = address.map(|text| text.parse()) {
                 self.exchange.add(Name::new(&row.key), address);
@@ -90,6 +86,33 @@
             }
         }
     }
+
+    /// Returns the entries that this one hears, as rows of a table that has no versions.
+    fn entries(&self) -> Rows {
+        let row = |(name, address): (Name, SocketAddr)| Row {
+            key: name.as_str().into(),
+            value: Some(address.to_string().into_bytes()),
+        };
+        Rows {
+            rows: self.exchange.entries().into_iter().map(row).collect(),
+            version: 1,
+            clock: Duration::ZERO,
+        }
+    }
+
+    async fn ask(&self, table: &str, after: u64) -> Option<Rows> {
+        for address in self.exchange.sources().into_iter().take(ASKED) {
+            let call = tokio::time::timeout(CALL_TIME, fetch(address, table, after)).await;
+            match call.unwrap_or_else(|late| Err(late.into())) {
+                Ok(None) => {}
+                Ok(Some(rows)) => return Some(rows),
+                Err(error) => {
+                    tracing::info!(part = "peers", %address, table, %error, "no copy of another entry");
+                }
+            }
+        }
+        None
+    }
 }
 
 impl Table {
@@ -131,35 +154,6 @@
     }
 }
 
-impl Copies {
-    /// Returns the entries that this one hears, as rows of a table that has no versions.
-    fn entries(&self) -> Rows {
-        let row = |(name, address): (Name, SocketAddr)| Row {
-            key: name.as_str().into(),
-            value: Some(address.to_string().into_bytes()),
-        };
-        Rows {
-            rows: self.exchange.entries().into_iter().map(row).collect(),
-            version: 1,
-            clock: Duration::ZERO,
-        }
-    }
-
-    async fn ask(&self, table: &str, after: u64) -> Option<Rows> {
-        for address in self.exchange.sources().into_iter().take(ASKED) {
-            let call = tokio::time::timeout(CALL_TIME, fetch(address, table, after)).await;
-            match call.unwrap_or_else(|late| Err(late.into())) {
-                Ok(None) => {}
-                Ok(Some(rows)) => return Some(rows),
-                Err(error) => {
-                    tracing::info!(part = "peers", %address, table, %error, "no copy of another entry");
-                }
-            }
-        }
-        None
-    }
-}
-
 /// Asks another entry for a table.
 async fn fetch(address: SocketAddr, table: &str, after: u64) -> Result<Option<Rows>> {
     let mut connection = pool::connect(address).await?;
--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -378,7 +378,9 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         if let Some(target) = state.scheduler.target(target).cloned() {
-            state.crashes.broke(now, &target.name, target.born, content);
+            state
+                .crashes
+                .note_broken(now, &target.name, target.born, content);
         }
     }
 
@@ -392,7 +394,7 @@
 
     /// Notes that a request has run to an end.
     pub(crate) fn note_finished(&self, content: Fingerprint) {
-        self.state.borrow_mut().crashes.finished(content);
+        self.state.borrow_mut().crashes.note_finished(content);
     }
 
     /// Keeps a connection, within this entry's part of what the target accepts from all entries.
--- a/crates/ebonylug-direct/src/grant.rs
+++ b/crates/ebonylug-direct/src/grant.rs
@@ -96,7 +96,7 @@
         if outcome == Outcome::Unreachable
             && let Some(target) = state.scheduler.target(self.target).cloned()
         {
-            state.is_down(now, &target);
+            state.note_down(now, &target);
         }
         let target = state.scheduler.target(self.target);
         if let (Some(sample), Some(target)) = (sample, target) {
--- a/crates/ebonylug-direct/src/peers.rs
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -94,9 +94,10 @@
             return;
         }
         self.entry.list_peer(name.clone());
-        self.peers
-            .borrow_mut()
-            .insert(name, Peer::new(address, false));
+        // What it says of itself goes before what is listed.
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.entry(name);
+        peer.or_insert_with(|| Peer::new(address, false));
     }
 
     /// Makes this entry known at addresses where other entries may be, until one of them is heard.
--- a/crates/ebonylug-direct/src/state.rs
+++ b/crates/ebonylug-direct/src/state.rs
@@ -60,6 +60,7 @@
         }
     }
 
+    /// Adds a target or takes over what has changed about it.
     pub(crate) fn put(&mut self, now: Instant, target: Target) {
         let known = self.scheduler.find(&target.name).cloned();
         if known.as_ref().is_none_or(|known| !known.is_same(&target)) {
@@ -76,25 +77,26 @@
             );
         }
         if let Some(known) = known.filter(|known| known.born != target.born) {
-            self.is_down(now, &known);
+            self.note_down(now, &known);
         }
         self.scheduler.put_target(now, target);
     }
 
+    /// Removes a target.
     pub(crate) fn remove(&mut self, now: Instant, name: &Name) {
         if let Some(known) = self.scheduler.find(name).cloned() {
             tracing::info!(part = "targets", target = %name, "target gone");
             // One that leaves as planned has not crashed.
             if known.state == TargetState::Serving {
-                self.is_down(now, &known);
+                self.note_down(now, &known);
             }
         }
         self.scheduler.remove_target(name);
     }
 
     /// Notes that a target takes no connections, is gone, or has started anew.
-    pub(crate) fn is_down(&mut self, now: Instant, target: &Target) {
-        if self.crashes.is_down(now, &target.name, target.born) {
+    pub(crate) fn note_down(&mut self, now: Instant, target: &Target) {
+        if self.crashes.note_down(now, &target.name, target.born) {
             let crashes = self.crashes.log().len();
             tracing::info!(part = "crashes", target = %target.name, crashes, "target crashed under requests");
         }
--- a/crates/ebonylug-dispatch/src/crashes.rs
+++ b/crates/ebonylug-dispatch/src/crashes.rs
@@ -42,9 +42,9 @@
 /// let mut crashes = Crashes::default();
 /// let bad = Fingerprint::of(b"bad");
 /// for target in ["engine-1", "engine-2"].map(Name::new) {
-///     crashes.broke(now, &target, 1, bad);
+///     crashes.note_broken(now, &target, 1, bad);
 ///     assert!(!crashes.is_quarantined(bad));
-///     crashes.is_down(now, &target, 1);
+///     crashes.note_down(now, &target, 1);
 /// }
 /// assert!(crashes.is_quarantined(bad));
 /// ```
@@ -70,7 +70,7 @@
 
 impl Crashes {
     /// Notes that a request broke off at a target that was started at `born`.
-    pub fn broke(&mut self, now: Instant, target: &Name, born: u64, content: Fingerprint) {
+    pub fn note_broken(&mut self, now: Instant, target: &Name, born: u64, content: Fingerprint) {
         if self.finished.contains(&content) {
             return;
         }
@@ -82,14 +82,14 @@
 
     /// Notes that a target that was started at `born` takes no connections, or has started anew. Returns
     /// whether that makes a crash of requests that broke off.
-    pub fn is_down(&mut self, now: Instant, target: &Name, born: u64) -> bool {
+    pub fn note_down(&mut self, now: Instant, target: &Name, born: u64) -> bool {
         let life = Life(hash_of(target.as_str()), born);
         self.signs.entry(life).or_default().down = Some(now);
         self.link(now, life)
     }
 
     /// Notes that a request has run to an end.
-    pub fn finished(&mut self, content: Fingerprint) {
+    pub fn note_finished(&mut self, content: Fingerprint) {
         self.finished.put(content, ());
         self.log.clear(content);
     }
--- a/crates/ebonylug-dispatch/tests/crashes.rs
+++ b/crates/ebonylug-dispatch/tests/crashes.rs
@@ -11,9 +11,9 @@
 fn crash(crashes: &mut Crashes, now: Instant, target: &str, contents: &[Fingerprint]) -> bool {
     let target = Name::new(target);
     for &content in contents {
-        crashes.broke(now, &target, 1, content);
+        crashes.note_broken(now, &target, 1, content);
     }
-    crashes.is_down(now, &target, 1)
+    crashes.note_down(now, &target, 1)
 }
 
 /// Guards against a request that crashes one target after the other because each entry sees one crash only.
@@ -40,16 +40,16 @@
 fn a_request_that_runs_elsewhere_is_not_blamed() {
     let now = Instant::now();
     let mut crashes = Crashes::default();
-    crashes.finished(GOOD);
+    crashes.note_finished(GOOD);
     for target in ["engine-1", "engine-2", "engine-3"] {
         assert!(!crash(&mut crashes, now, target, &[GOOD]));
     }
     assert!(!crashes.is_quarantined(GOOD));
     // It ends for the first time between the break and the sign that the target is down.
     let target = Name::new("engine-4");
-    crashes.broke(now, &target, 1, BAD);
-    crashes.finished(BAD);
-    assert!(!crashes.is_down(now, &target, 1));
+    crashes.note_broken(now, &target, 1, BAD);
+    crashes.note_finished(BAD);
+    assert!(!crashes.note_down(now, &target, 1));
 }
 
 /// Guards against broken connections that are taken for crashes: targets that lose answers go on.
@@ -59,12 +59,12 @@
     let mut crashes = Crashes::default();
     for target in ["engine-1", "engine-2", "engine-3"] {
         let target = Name::new(target);
-        crashes.broke(now, &target, 1, BAD);
+        crashes.note_broken(now, &target, 1, BAD);
         // The next life of the same target has not broken anything.
-        assert!(!crashes.is_down(now, &target, 2));
+        assert!(!crashes.note_down(now, &target, 2));
         now += Duration::from_secs(6);
         crashes.expire(now);
-        assert!(!crashes.is_down(now, &target, 1));
+        assert!(!crashes.note_down(now, &target, 1));
     }
     assert!(crashes.is_empty());
 }
@@ -75,8 +75,8 @@
     let now = Instant::now();
     let mut crashes = Crashes::default();
     for target in ["engine-1", "engine-2"].map(Name::new) {
-        assert!(!crashes.is_down(now, &target, 1));
-        crashes.broke(now + Duration::from_secs(1), &target, 1, BAD);
+        assert!(!crashes.note_down(now, &target, 1));
+        crashes.note_broken(now + Duration::from_secs(1), &target, 1, BAD);
     }
     assert!(crashes.is_quarantined(BAD));
 }
