--- a/crates/ebonylug-soak/src/main.rs
+++ b/crates/ebonylug-soak/src/main.rs
@@ -48,6 +48,15 @@
     /// Seconds of load for each seed
     #[bpaf(argument("SECONDS"), fallback(10))]
     length: u64,
+    /// Entries, at most 200
+    #[bpaf(argument("COUNT"))]
+    entries: Option<usize>,
+    /// Engines, at most 200
+    #[bpaf(argument("COUNT"))]
+    engines: Option<usize>,
+    /// Callers
+    #[bpaf(argument("COUNT"))]
+    callers: Option<usize>,
     /// Play the schedule of a file instead
     #[bpaf(argument("FILE"))]
     schedule: Option<PathBuf>,
@@ -117,7 +126,13 @@
         report.played.push(one(run, schedule).await?);
     } else {
         let seeds = stream::iter((first..).take_while(goes_on));
-        let plays = seeds.map(|seed| one(run, Schedule::draw(seed, length)));
+        let plays = seeds.map(|seed| {
+            let mut schedule = Schedule::draw(seed, length);
+            schedule.entries = run.entries.unwrap_or(schedule.entries);
+            schedule.engines = run.engines.unwrap_or(schedule.engines);
+            schedule.callers = run.callers.unwrap_or(schedule.callers);
+            one(run, schedule)
+        });
         let mut plays = std::pin::pin!(plays.buffer_unordered(run.jobs.max(1)));
         while let Some(played) = plays.next().await {
             report.played.push(played?);
--- a/crates/ebonylug-soak/src/world.rs
+++ b/crates/ebonylug-soak/src/world.rs
@@ -87,19 +87,16 @@
         static PLAYS: AtomicU8 = AtomicU8::new(0);
         // The first part is 127; the second one must not be 0, where other programs listen.
         let second = u8::try_from(std::process::id() % 250).unwrap_or(0) + 1;
-        Net(second, PLAYS.fetch_add(1, Ordering::Relaxed))
+        Net(second, PLAYS.fetch_add(2, Ordering::Relaxed))
     }
 
     fn entry(self, place: usize) -> IpAddr {
-        self.host(u8::try_from(place).unwrap_or(u8::MAX) + 1)
+        let last = u8::try_from(place + 1).unwrap_or(u8::MAX);
+        Ipv4Addr::new(127, self.0, self.1, last).into()
     }
 
     fn engine(self, number: u8) -> IpAddr {
-        self.host(number.saturating_add(50))
-    }
-
-    fn host(self, last: u8) -> IpAddr {
-        Ipv4Addr::new(127, self.0, self.1, last).into()
+        Ipv4Addr::new(127, self.0, self.1.wrapping_add(1), number).into()
     }
 }
 
@@ -285,7 +282,8 @@
     pub(crate) async fn add_engine(self: &Arc<Self>, place: usize) -> Result<()> {
         let number = {
             let mut next = lock(&self.next);
-            *next += 1;
+            // After 255 engines, the addresses of those that have ended are used again.
+            *next = next.checked_add(1).unwrap_or(1);
             *next
         };
         let name = format!("engine-{number}");
