Collect for a message between entries only what it holds, and share three pieces

Cause: a second reading of the change. Each tick collected the paces of all targets, the use of all quotas and a copy of the known crashes, and dropped most of it before sending. The number of known entries was taken from Peers::standing, which looks at each entry, for each message, request and answer. The name of a target was looked up in three ways, two places decoded rows that list entries (one of them without a line for a spoiled row), and a list of the other entries was made with this entry and then without it again.

Change: Content names the three kinds of messages, and Entry::gossip collects what the widest one due needs. Peers::known, Entry::target_name and Exchange::add_rows serve all their callers; Exchange::others is what entries and copies build on. The time in the queue is a plain field. What is sent, logged and decided stays the same, but for the line about a spoiled row that a copy holds.

--- a/crates/ebonylug-direct/src/copies.rs
+++ b/crates/ebonylug-direct/src/copies.rs
@@ -58,12 +58,8 @@
 
     /// Asks another entry which entries it hears, and adds them to those that this one talks to.
     pub async fn find_entries(&self) {
-        let rows = self.ask(ENTRIES, 0).await;
-        for row in rows.into_iter().flat_map(|rows| rows.rows) {
-            let address = row.value.as_deref().map(String::from_utf8_lossy);
-            if let Some(Ok(address)) = address.map(|text| text.parse()) {
-                self.exchange.add(Name::new(&row.key), address);
-            }
+        if let Some(found) = self.ask(ENTRIES, 0).await {
+            self.exchange.add_rows(&found.rows);
         }
     }
 
@@ -101,7 +97,7 @@
     }
 
     async fn ask(&self, table: &str, after: u64) -> Option<Rows> {
-        for address in self.exchange.sources().into_iter().take(ASKED) {
+        for (_, address) in self.exchange.others().into_iter().take(ASKED) {
             let call = tokio::time::timeout(CALL_TIME, fetch(address, table, after)).await;
             match call.unwrap_or_else(|late| Err(late.into())) {
                 Ok(None) => {}
--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ebonylug_admission::CrashLog;
 use ebonylug_core::{Clock, Fingerprint, Incarnation, Name};
 use ebonylug_dispatch::{
     Ask, Asked, Config, Crashes, Decision, Freshness, Gossip, Peers, Quotas, Reason, Refusal,
@@ -17,6 +18,7 @@
 use crate::grant::{Grant, Ticket, Waiter};
 use crate::instruments::Instruments;
 use crate::moves::{Moves, Order, Report};
+use crate::peers::Content;
 use crate::pool::{Lease, Pool};
 use crate::state::State;
 use crate::uptime::Uptime;
@@ -288,6 +290,13 @@
         self.state.borrow().scheduler.target(key).cloned()
     }
 
+    /// Returns the name of a target that is listed.
+    pub(crate) fn target_name(&self, key: TargetKey) -> Option<String> {
+        let state = self.state.borrow();
+        let target = state.scheduler.target(key)?;
+        Some(target.name.as_str().to_owned())
+    }
+
     /// Takes tokens out of an organisation's quota.
     pub(crate) fn take_quota(
         &self,
@@ -329,7 +338,7 @@
 
     fn with_budget<T>(&self, service: &Name, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut state = self.state.borrow_mut();
-        let entries = state.peers.standing(self.clock.now()).known;
+        let entries = state.peers.known();
         let rule = self.bounds.get().retries.part(entries);
         let budget = state
             .budgets
@@ -404,7 +413,7 @@
         let service = target.zip(state.config.as_ref());
         let service = service.and_then(|(target, config)| config.service(target.service.as_str()));
         let most = service.map_or(0, |service| service.connections as usize);
-        let entries = state.peers.standing(self.clock.now()).known;
+        let entries = state.peers.known();
         // Without a stated bound, only the pool's own one holds.
         let most = match most {
             0 => usize::MAX,
@@ -467,12 +476,12 @@
         self.clock.now().saturating_duration_since(self.started)
     }
 
-    /// Makes the next message to the other entries.
-    pub(crate) fn gossip(&self) -> Gossip {
+    /// Makes the next message to the other entries, with the known crashes if it may hold them.
+    pub(crate) fn gossip(&self, content: Content, crashes: bool) -> Gossip {
         let mut state = self.state.borrow_mut();
         state.sequence += 1;
+        let (quotas, paces) = (content >= Content::Quotas, content >= Content::Paces);
         let running = state.scheduler.own().collect();
-        let paces = state.scheduler.paces(self.clock.now()).collect();
         let (moves, evidence) = state.moves.news(self.uptime.uptime());
         Gossip {
             entry: self.name.as_str().into(),
@@ -486,12 +495,21 @@
             // Until its last request has ended, the others must count what it uses.
             leaving: self.stopped.get(),
             age: u32::try_from(self.age().as_millis()).unwrap_or(u32::MAX),
-            usage: state.quotas.usage().collect(),
+            usage: match quotas {
+                true => state.quotas.usage().collect(),
+                false => Vec::new(),
+            },
             running,
-            paces,
+            paces: match paces {
+                true => state.scheduler.paces(self.clock.now()).collect(),
+                false => Vec::new(),
+            },
             moves,
             evidence,
-            crashes: state.crashes.log().clone(),
+            crashes: match quotas && crashes {
+                true => state.crashes.log().clone(),
+                false => CrashLog::new(),
+            },
         }
     }
 
@@ -517,7 +535,7 @@
         for (organisation, tokens) in news.used {
             state.quotas.used_elsewhere(organisation, tokens);
         }
-        state.peers_changed(now);
+        state.peers_changed();
         drop(state);
         self.pump();
         news.joined
@@ -540,7 +558,7 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         state.peers.list(now, name);
-        state.peers_changed(now);
+        state.peers_changed();
     }
 
     /// Does what is due after some time: forgets entries and connections, and decides about requests that
@@ -551,7 +569,7 @@
         state.tell_peers(now);
         state.peers.expire(now);
         state.crashes.expire(now);
-        state.peers_changed(now);
+        state.peers_changed();
         drop(state);
         self.pool.expire();
         self.pump();
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -176,7 +176,7 @@
         ran: 0,
         unrun: 0,
         quota,
-        queue: Cell::default(),
+        queue: Duration::ZERO,
         ended: Cell::new(false),
         _active: active,
     };
@@ -268,7 +268,7 @@
     unrun: u32,
     quota: Option<Spent>,
     /// Time from the arrival to the last send.
-    queue: Cell<Duration>,
+    queue: Duration,
     /// Whether the entry knows how the request ended.
     ended: Cell<bool>,
     _active: Active,
@@ -286,7 +286,7 @@
             part = "request",
             request = self.call.id.to_str().unwrap_or_default(),
             route = %self.call.route.name,
-            waited_ms = millis(self.call.arrived.elapsed()),
+            waited_ms = millis(time),
             attempts = self.tried.len(),
             "caller left"
         );
@@ -354,7 +354,7 @@
                 Err(refusal) if self.ran == 0 => return Err(Rejection::Refused(refusal)),
                 Err(_) => return Err(bad_gateway()),
             };
-            self.queue.set(self.call.arrived.elapsed());
+            self.queue = self.call.arrived.elapsed();
             self.tried.push(grant.target());
             if let Some(quota) = &self.quota {
                 // A request that a target did not run counts all the same: the caller's next one
@@ -401,7 +401,7 @@
             route = %self.call.route.name,
             target = self.target(),
             status = status.as_u16(),
-            queue_ms = millis(self.queue.get()),
+            queue_ms = millis(self.queue),
             total_ms = millis(self.call.arrived.elapsed()),
             attempts = self.tried.len(),
             config = trace.config,
@@ -411,8 +411,7 @@
 
     /// Returns the name of the last target.
     fn target(&self) -> Option<String> {
-        let target = self.entry.target(*self.tried.last()?)?;
-        Some(target.name.as_str().to_owned())
+        self.entry.target_name(*self.tried.last()?)
     }
 
     /// Logs and counts a failed attempt.
--- a/crates/ebonylug-direct/src/peers.rs
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::entry::Entry;
+use crate::follow::Row;
 
 /// The shortest time between two messages to one entry while loads change. What an entry knows of the
 /// others is as old as this, and what all send to a target within this time is a guess.
@@ -40,13 +41,15 @@
     peers: RefCell<HashMap<Name, Peer>>,
 }
 
-/// What a message holds besides loads.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Content {
-    /// The use of quotas.
-    quotas: bool,
+/// What a message holds. Each kind holds what the ones before it do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Content {
+    /// Loads.
+    Loads,
+    /// The use of quotas, and at times the known crashes.
+    Quotas,
     /// The paces of targets.
-    paces: bool,
+    Paces,
 }
 
 /// Another entry.
@@ -103,31 +106,40 @@
     /// Makes this entry known at addresses where other entries may be, until one of them is heard.
     pub async fn greet(&self, addresses: &[SocketAddr]) {
         while self.entry.heard() == 1 {
-            let mut gossip = self.entry.gossip();
+            let mut gossip = self.entry.gossip(Content::Paces, true);
             gossip.pause = u32::try_from(GREET_PAUSE.as_millis()).unwrap_or(u32::MAX);
             self.send_to(&gossip, addresses).await;
             tokio::time::sleep(GREET_PAUSE).await;
         }
     }
 
+    /// Adds the other entries that rows list: the key is the name, the value the address.
+    pub fn add_rows(&self, rows: &[Row]) {
+        for row in rows {
+            let address = row.value.as_deref().map(String::from_utf8_lossy);
+            match address.map(|text| text.parse()) {
+                Some(Ok(address)) => self.add(Name::new(&row.key), address),
+                _ => tracing::warn!(part = "peers", key = %row.key, "a row names no entry"),
+            }
+        }
+    }
+
     /// Returns the entries that are heard, with their addresses, and this one.
     pub(crate) fn entries(&self) -> Vec<(Name, SocketAddr)> {
+        let own = self.address().ok();
+        let own = own.map(|address| (self.entry.name.clone(), address));
+        self.others().into_iter().chain(own).collect()
+    }
+
+    /// Returns the other entries that are heard, those with the newest configuration first.
+    pub(crate) fn others(&self) -> Vec<(Name, SocketAddr)> {
         let peers = self.peers.borrow();
-        let own = self
-            .address()
-            .map(|address| (self.entry.name.clone(), address));
-        let others = self.entry.sources().into_iter().filter_map(|name| {
+        let names = self.entry.sources().into_iter();
+        let known = names.filter_map(|name| {
             let address = peers.get(&name)?.address;
             Some((name, address))
         });
-        others.chain(own.ok()).collect()
-    }
-
-    /// Returns the addresses of the entries that are heard, those with the newest configuration first.
-    pub(crate) fn sources(&self) -> Vec<SocketAddr> {
-        let others = self.entries().into_iter();
-        let others = others.filter(|(name, _)| *name != self.entry.name);
-        others.map(|(_, address)| address).collect()
+        known.collect()
     }
 
     /// Sends messages for ever.
@@ -141,26 +153,23 @@
     /// Sends a message to each other entry that is due for one, or to all.
     pub async fn tell(&self, all: bool) {
         let due = self.due(all);
-        if due.is_empty() {
+        let Some(widest) = due.iter().map(|(_, content)| *content).max() else {
             return;
-        }
+        };
         let entries = self.peers.borrow().len();
         let longest = pause(FAR_PAUSE, entries).max(QUIET_PAUSE) + MIN_PAUSE;
-        let mut gossip = self.entry.gossip();
+        let crashes = all || self.entry.tells_crashes();
+        let mut gossip = self.entry.gossip(widest, crashes);
         gossip.pause = u32::try_from(longest.as_millis()).unwrap_or(u32::MAX);
-        if !(all || self.entry.tells_crashes()) {
-            gossip.crashes = CrashLog::new();
-        }
         // What is left out of one message is left out of all that follow.
-        for (quotas, paces) in [(true, true), (true, false), (false, false)] {
-            if !paces {
+        for content in [Content::Paces, Content::Quotas, Content::Loads] {
+            if content < Content::Paces {
                 gossip.paces.clear();
             }
-            if !quotas {
+            if content < Content::Quotas {
                 gossip.usage.clear();
                 gossip.crashes = CrashLog::new();
             }
-            let content = Content { quotas, paces };
             let due = due.iter().filter(|(_, due)| *due == content);
             let addresses: SmallVec<[SocketAddr; 8]> = due.map(|(address, _)| *address).collect();
             self.send_to(&gossip, &addresses).await;
@@ -185,16 +194,20 @@
             }
             peer.told = now;
             peer.changes = changes;
-            // Paces are told with quotas, so that there are three kinds of messages and not four.
-            let paces = all || now.duration_since(peer.paces) >= PACES_PAUSE.max(quiet);
-            let quotas = paces || now.duration_since(peer.quotas) >= quiet;
-            if paces {
+            let content = if all || now.duration_since(peer.paces) >= PACES_PAUSE.max(quiet) {
+                Content::Paces
+            } else if now.duration_since(peer.quotas) >= quiet {
+                Content::Quotas
+            } else {
+                Content::Loads
+            };
+            if content >= Content::Paces {
                 peer.paces = now;
             }
-            if quotas {
+            if content >= Content::Quotas {
                 peer.quotas = now;
             }
-            due.push((peer.address, Content { quotas, paces }));
+            due.push((peer.address, content));
         }
         due
     }
--- a/crates/ebonylug-direct/src/state.rs
+++ b/crates/ebonylug-direct/src/state.rs
@@ -33,9 +33,9 @@
 
 impl State {
     /// Notes that what the other entries have told has changed.
-    pub(crate) fn peers_changed(&mut self, now: Instant) {
+    pub(crate) fn peers_changed(&mut self) {
         self.others_old = true;
-        self.scheduler.set_entries(self.peers.standing(now).known);
+        self.scheduler.set_entries(self.peers.known());
     }
 
     /// Logs which entries are not heard any more, or again.
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -161,7 +161,7 @@
             tracing::info!(
                 part = "stream",
                 request = job.call.id.to_str().unwrap_or_default(),
-                target = job.entry.target(target).map(|t| t.name.as_str().to_owned()),
+                target = job.entry.target_name(target),
                 last = self.events.last,
                 %error,
                 "stream broke"
@@ -215,7 +215,7 @@
             part = "stream",
             request = call.id.to_str().unwrap_or_default(),
             route = %call.route.name,
-            target = %self.job.entry.target(opened.grant.target()).map_or_else(String::new, |t| t.name.to_string()),
+            target = self.job.entry.target_name(opened.grant.target()).unwrap_or_default(),
             queue_ms = millis(opened.sent.duration_since(call.arrived)),
             first_ms = millis(first),
             pause_ms = millis(self.events.pause),
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -258,13 +258,20 @@
         changes
     }
 
+    /// Returns how many entries may be at work, with this one. Unlike [`Peers::standing`], it looks at none of
+    /// them, so that each request and message can ask.
+    #[must_use]
+    pub fn known(&self) -> usize {
+        self.peers.len() + self.listed.len() + 1
+    }
+
     /// Returns how many entries there are, with this one.
     #[must_use]
     pub fn standing(&self, now: Instant) -> Standing {
         let heard = self.peers.values().filter(|peer| peer.is_heard(now));
         Standing {
             heard: heard.count() + 1,
-            known: self.peers.len() + self.listed.len() + 1,
+            known: self.known(),
         }
     }
 
