Use the adapter's own settings in the soak, and drop what nothing reads there

The stand-in had a second type of the entry's settings and a second encoding of them. The ledger kept a set of drained engines that nothing read. Requests were noted in two copies of one record, engines were signalled in two ways, the start was polled twice, and each fault ended in its own Ok.

One engine value holds row, proxy and handle; World::open tells when all entries are ready; Plan::ended makes the record of a request; a failed step of a fault is passed up with `?`. A paused engine whose place is taken now goes on again, as it was meant to.

--- a/crates/ebonylug-soak/src/caller.rs
+++ b/crates/ebonylug-soak/src/caller.rs
@@ -91,9 +91,8 @@
             open = match connect(&shared, rng.random()).await {
                 Connected::Open(open) => Some(open),
                 Connected::Refused(entry) => {
-                    let _ = shared
-                        .asks
-                        .send(Plan::draw(&shared, &mut rng).refused(entry));
+                    let plan = Plan::draw(&shared, &mut rng);
+                    let _ = shared.asks.send(plan.ended(entry, now(), End::Refused));
                     None
                 }
                 Connected::No => None,
@@ -195,17 +194,17 @@
         }
     }
 
-    /// Returns what came of a request for which there was no connection.
-    fn refused(self, entry: (usize, u32)) -> Ask {
+    /// Returns what came of the request.
+    fn ended(&self, entry: (usize, u32), sent: u64, end: End) -> Ask {
         Ask {
             id: self.id,
             sort: self.sort,
             route: self.route,
             entry,
             key: self.key,
-            sent: now(),
+            sent,
             ended: now(),
-            end: End::Refused,
+            end,
         }
     }
 
@@ -238,17 +237,7 @@
                 Err(_) => (End::Left, false),
             },
         };
-        let ask = Ask {
-            id: self.id,
-            sort: self.sort,
-            route: self.route,
-            entry: open.entry,
-            key: self.key,
-            sent,
-            ended: now(),
-            end,
-        };
-        (ask, keep)
+        (self.ended(open.entry, sent, end), keep)
     }
 
     async fn exchange(
--- a/crates/ebonylug-soak/src/ledger.rs
+++ b/crates/ebonylug-soak/src/ledger.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -248,7 +248,6 @@
     }
 
     fn judge_changes(&self, judge: &mut Judge) {
-        let mut out: HashSet<&str> = HashSet::new();
         for (at, change) in &self.notes.changes {
             match change {
                 Change::Config { version } => self.judge_config(judge, *at, *version),
@@ -257,7 +256,6 @@
                     self.judge_drained(judge, engine, *at + DRAIN, u64::MAX);
                 }
                 Change::Drained { engines } => {
-                    out.extend(engines.iter().map(String::as_str));
                     let back = self.notes.changes.iter();
                     let back =
                         back.filter(|(time, change)| time > at && *change == Change::Restored);
@@ -266,7 +264,7 @@
                         self.judge_drained(judge, engine, *at + ZONE, until);
                     }
                 }
-                Change::Restored => out.clear(),
+                Change::Restored => {}
             }
         }
     }
--- a/crates/ebonylug-soak/src/play.rs
+++ b/crates/ebonylug-soak/src/play.rs
@@ -1,4 +1,3 @@
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -51,9 +50,7 @@
 pub async fn play(schedule: &Schedule, options: &Options) -> Result<Notes> {
     world::folder(&options.folder)?;
     let world = World::start(options.clone(), schedule.entries, schedule.engines).await?;
-    for address in world.ready() {
-        wait_ready(address).await?;
-    }
+    wait_ready(&world).await?;
     lock(&world.notes).started = now();
     let (asks, mut seen) = mpsc::unbounded_channel();
     let shared = Shared::new(world.open.subscribe(), asks);
@@ -108,94 +105,78 @@
     }
 }
 
-/// Waits until an entry says that it is ready.
-async fn wait_ready(address: SocketAddr) -> Result<()> {
-    let asked = tokio::time::timeout(START, async {
-        while !world::is_ready(address).await.unwrap_or(false) {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    });
-    let late = || Error::Start(format!("the entry at {address} is not ready").into());
-    asked.await.map_err(|_| late())
+/// Waits until all entries have said that they are ready.
+async fn wait_ready(world: &World) -> Result<()> {
+    let mut open = world.open.subscribe();
+    let all = open.wait_for(|open| open.len() == world.entries.len());
+    match tokio::time::timeout(START, all).await {
+        Ok(_) => Ok(()),
+        Err(_) => Err(Error::Start("not all entries are ready".into())),
+    }
 }
 
-/// Carries an event out at its time.
+/// Carries an event out at its time, and notes if that cannot be done.
 async fn cause(world: Arc<World>, shared: Arc<Shared>, begun: Instant, event: Event) {
     tokio::time::sleep_until(begun + event.at).await;
+    if let Err(error) = carry_out(&world, &shared, event).await {
+        let seen = format!("the soak could not go on: {error}");
+        lock(&world.notes).ends.push((now(), seen));
+    }
+}
+
+async fn carry_out(world: &Arc<World>, shared: &Shared, event: Event) -> Result<()> {
     let lasts = event.lasts;
     let entry = |number: usize| number % world.entries.len();
-    let done = match event.fault {
+    let all: Vec<usize> = (0..world.entries.len()).collect();
+    match event.fault {
         Fault::Kill(n) => {
             world.trouble(Trouble::Entry(entry(n)), Duration::from_secs(1));
             world.signal(entry(n), Signal::KILL);
-            Ok(())
-        }
-        Fault::Stop(n) => {
-            stop(&world, entry(n)).await;
-            Ok(())
         }
+        Fault::Stop(n) => stop(world, entry(n)).await,
         Fault::Pause(n) => {
             world.trouble(Trouble::Entry(entry(n)), lasts);
             world.signal(entry(n), Signal::STOP);
             tokio::time::sleep(lasts).await;
             world.signal(entry(n), Signal::CONT);
-            Ok(())
         }
         Fault::Reload(n) => {
             let written = world.change_settings(entry(n));
             world.signal(entry(n), Signal::HUP);
-            written
+            written?;
         }
-        Fault::Busy(n) => store(&world, &[entry(n)], StoreFault::Busy, lasts).await,
-        Fault::Reset(n) => store(&world, &[entry(n)], StoreFault::Reset, lasts).await,
-        Fault::Lost(n) => store(&world, &[entry(n)], StoreFault::Lost, lasts).await,
-        Fault::Silent => store(&world, &all(&world), StoreFault::Silent, lasts).await,
+        Fault::Busy(n) => store(world, &[entry(n)], StoreFault::Busy, lasts).await,
+        Fault::Reset(n) => store(world, &[entry(n)], StoreFault::Reset, lasts).await,
+        Fault::Lost(n) => store(world, &[entry(n)], StoreFault::Lost, lasts).await,
+        Fault::Silent => store(world, &all, StoreFault::Silent, lasts).await,
         Fault::Slow => {
             let slow = StoreFault::Slow(Duration::from_millis(300));
-            store(&world, &all(&world), slow, lasts).await
+            store(world, &all, slow, lasts).await;
         }
-        Fault::Compact => {
-            world.rows.compact();
-            Ok(())
-        }
-        Fault::Crash(n) => crash(&world, n).await,
-        Fault::Leave(n) => leave(&world, n, true).await,
-        Fault::Vanish(n) => leave(&world, n, false).await,
+        Fault::Compact => world.rows.compact(),
+        Fault::Crash(n) => crash(world, n).await?,
+        Fault::Leave(n) => leave(world, n, true).await?,
+        Fault::Vanish(n) => leave(world, n, false).await?,
         Fault::Stall(n) => {
-            let (row, _) = world.engine(n);
+            let engine = world.engine(n);
             world.trouble(Trouble::Engine, lasts);
-            world.signal_engine(n, &row.name, Signal::STOP);
+            engine.handle.signal(Signal::STOP);
             tokio::time::sleep(lasts).await;
-            world.signal_engine(n, &row.name, Signal::CONT);
-            Ok(())
+            engine.handle.signal(Signal::CONT);
         }
-        Fault::Break(n) => harm(&world, n, Mode::Reset, lasts).await,
-        Fault::Delay(n) => harm(&world, n, Mode::Delay(Duration::from_millis(200)), lasts).await,
+        Fault::Break(n) => harm(world, n, Mode::Reset, lasts).await,
+        Fault::Delay(n) => harm(world, n, Mode::Delay(Duration::from_millis(200)), lasts).await,
         // Longer than the time limit of requests, mostly.
-        Fault::Mute(n) => harm(&world, n, Mode::Mute, lasts * 2).await,
-        Fault::OneWay(n) => harm(&world, n, Mode::OneWay, lasts * 2).await,
+        Fault::Mute(n) => harm(world, n, Mode::Mute, lasts * 2).await,
+        Fault::OneWay(n) => harm(world, n, Mode::OneWay, lasts * 2).await,
         Fault::Route => {
             let version = world.add_route();
             shared.newest.fetch_max(version, Ordering::Relaxed);
-            Ok(())
-        }
-        Fault::Revoke => {
-            world.revoke();
-            Ok(())
-        }
-        Fault::Drain(n) => {
-            drain(&world, n, lasts).await;
-            Ok(())
         }
-    };
-    if let Err(error) = done {
-        let seen = format!("the soak could not go on: {error}");
-        lock(&world.notes).ends.push((now(), seen));
+        Fault::Revoke => world.revoke(),
+        Fault::Drain(n) => drain(world, n, lasts).await,
     }
-}
-
-fn all(world: &World) -> Vec<usize> {
-    (0..world.entries.len()).collect()
+    Ok(())
 }
 
 async fn stop(world: &Arc<World>, place: usize) {
@@ -224,7 +205,7 @@
     }
 }
 
-async fn store(world: &World, places: &[usize], fault: StoreFault, lasts: Duration) -> Result<()> {
+async fn store(world: &World, places: &[usize], fault: StoreFault, lasts: Duration) {
     for &place in places {
         world.trouble(Trouble::Store(place), lasts);
         world.entries[place].gate.set(fault);
@@ -233,43 +214,39 @@
     for &place in places {
         world.entries[place].gate.set(StoreFault::None);
     }
-    Ok(())
 }
 
-async fn harm(world: &World, place: usize, mode: Mode, lasts: Duration) -> Result<()> {
-    let (_, proxy) = world.engine(place);
+async fn harm(world: &World, place: usize, mode: Mode, lasts: Duration) {
+    let engine = world.engine(place);
     world.trouble(Trouble::Engine, lasts);
-    proxy.set(mode);
+    engine.proxy.set(mode);
     tokio::time::sleep(lasts).await;
-    proxy.set(Mode::Pass);
-    Ok(())
+    engine.proxy.set(Mode::Pass);
 }
 
 async fn crash(world: &Arc<World>, number: usize) -> Result<()> {
     let place = number % world.engine_count();
-    let (row, _) = world.engine(place);
+    let engine = world.engine(place);
     world.trouble(Trouble::Engine, ROW_GONE);
-    world.signal_engine(place, &row.name, Signal::KILL);
+    engine.handle.signal(Signal::KILL);
     world.add_engine(place).await?;
     tokio::time::sleep(ROW_GONE).await;
-    world.rows.remove_target(&row.name);
+    world.rows.remove_target(&engine.row.name);
     Ok(())
 }
 
 /// Lets an engine leave, with a row that says so or without a row, and another take its place.
 async fn leave(world: &Arc<World>, number: usize, notice: bool) -> Result<()> {
     let place = number % world.engine_count();
-    // The proxy serves as long as the engine does.
-    let (row, proxy) = world.engine(place);
-    let handle = world.engine_handle(place)?;
-    let name = row.name.clone();
+    let engine = world.engine(place);
+    let name = &engine.row.name;
     if notice {
         world.rows.put_target(&Target {
             state: TargetState::Leaving,
-            ..row
+            ..engine.row.clone()
         });
     } else {
-        world.rows.remove_target(&name);
+        world.rows.remove_target(name);
     }
     world.note(Change::Leaves {
         engine: name.to_string(),
@@ -277,18 +254,17 @@
     world.add_engine(place).await?;
     tokio::time::sleep(LEAVES).await;
     world.trouble(Trouble::Engine, Duration::from_millis(100));
-    handle.signal(Signal::KILL);
-    drop(proxy);
-    world.rows.remove_target(&name);
+    engine.handle.signal(Signal::KILL);
+    world.rows.remove_target(name);
     Ok(())
 }
 
 async fn drain(world: &World, number: usize, lasts: Duration) {
-    let (row, _) = world.engine(number);
-    let engines = world.engines_of(&row.zone);
-    world.rows.drain(&row.zone);
+    let zone = world.engine(number).row.zone;
+    let engines = world.engines_of(&zone);
+    world.rows.drain(&zone);
     world.note(Change::Drained { engines });
     tokio::time::sleep(lasts + DRAINED).await;
-    world.rows.restore(&row.zone);
+    world.rows.restore(&zone);
     world.note(Change::Restored);
 }
--- a/crates/ebonylug-soak/src/proxy.rs
+++ b/crates/ebonylug-soak/src/proxy.rs
@@ -70,17 +70,13 @@
     let abort = socket2::SockRef::from(&near).try_clone();
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let copies = async {
-        tokio::join!(
-            copy(near_read, far_write, Way::To, mode.clone()),
-            copy(far_read, near_write, Way::From, mode.clone()),
-        )
-    };
-    let mut resets = mode.clone();
+    let copies = futures_util::future::join(
+        copy(near_read, far_write, Way::To, mode.clone()),
+        copy(far_read, near_write, Way::From, mode.clone()),
+    );
     tokio::select! {
         _ = copies => {}
-        _ = resets.wait_for(|mode| *mode == Mode::Reset) => {
-            mode.mark_unchanged();
+        _ = mode.wait_for(|mode| *mode == Mode::Reset) => {
             if let Ok(socket) = abort {
                 let _ = socket.set_linger(Some(Duration::ZERO));
             }
--- a/crates/ebonylug-soak/src/world.rs
+++ b/crates/ebonylug-soak/src/world.rs
@@ -7,7 +7,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use ebonylug_adapter::standin::{self, Gate, Rows, Spec};
+use ebonylug_adapter::settings::{Retries, Settings};
+use ebonylug_adapter::standin::{Gate, Rows};
 use ebonylug_core::Name;
 use ebonylug_dispatch::{
     Draft, Kind, Limits, Organisation, Quota, Route, Service, Target, TargetState,
@@ -35,20 +36,22 @@
 
 /// One entry's place: what stays when its process is started again.
 pub(crate) struct Entry {
-    spec: Mutex<Spec>,
+    settings: Mutex<Settings>,
     pub(crate) gate: Gate,
     handle: Mutex<Option<Handle>>,
-    /// Whether the process was told to stop, or was killed.
+    /// Whether the process was told to stop.
     stopped: AtomicBool,
+    /// Whether it was killed.
     killed: AtomicBool,
     start: Mutex<u32>,
 }
 
-/// One engine's place.
+/// An engine. It serves as long as its proxy is held.
+#[derive(Clone)]
 pub(crate) struct Engine {
     pub(crate) row: Target,
     pub(crate) proxy: Arc<Proxy>,
-    handle: Handle,
+    pub(crate) handle: Arc<Handle>,
 }
 
 /// All that is played.
@@ -186,15 +189,15 @@
     ) -> Result<Arc<Self>> {
         let rows = Rows::default();
         let net = Net::next();
-        let mut specs = Vec::new();
+        let mut places = Vec::new();
         for place in 0..entries {
-            specs.push(spec(&rows, net, place).await?);
+            places.push(settings(&rows, net, place).await?);
         }
-        let seeds: Vec<SocketAddr> = specs.iter().map(|(spec, _)| spec.peers).collect();
-        let entries = specs.into_iter().map(|(spec, gate)| Entry {
-            spec: Mutex::new(Spec {
+        let seeds: Vec<SocketAddr> = places.iter().map(|(settings, _)| settings.peers).collect();
+        let entries = places.into_iter().map(|(settings, gate)| Entry {
+            settings: Mutex::new(Settings {
                 seeds: seeds.clone(),
-                ..spec
+                ..settings
             }),
             gate,
             handle: Mutex::default(),
@@ -291,7 +294,7 @@
         let text = address.to_string();
         let arguments = ["engine", "--name", &name, "--address", &text];
         let mut process = Process::start(&self.options.soak, &arguments, None)?;
-        let handle = process.handle().share()?;
+        let handle = Arc::new(process.handle().share()?);
         let output = process.output();
         let setup = |error| Error::Setup("a proxy".into(), error);
         let proxy = Proxy::start(address).await.map_err(setup)?;
@@ -345,11 +348,10 @@
         Err(Error::Start(format!("nothing listens at {address}").into()))
     }
 
-    /// Returns the engine of a place: its row and the proxy before it.
-    pub(crate) fn engine(&self, place: usize) -> (Target, Arc<Proxy>) {
+    /// Returns the engine of a place. It stays the same when another one takes the place.
+    pub(crate) fn engine(&self, place: usize) -> Engine {
         let engines = lock(&self.engines);
-        let engine = &engines[place % engines.len()];
-        (engine.row.clone(), Arc::clone(&engine.proxy))
+        engines[place % engines.len()].clone()
     }
 
     pub(crate) fn engine_count(&self) -> usize {
@@ -363,43 +365,28 @@
         engines.map(|engine| engine.row.name.to_string()).collect()
     }
 
-    /// Sends a signal to the engine of a place, if it is still the one of a name.
-    pub(crate) fn signal_engine(&self, place: usize, name: &Name, signal: Signal) {
-        let engines = lock(&self.engines);
-        let engine = &engines[place % engines.len()];
-        if engine.row.name == *name {
-            engine.handle.signal(signal);
-        }
-    }
-
-    /// Takes a handle of the engine of a place, which stays valid when another engine has taken the place.
-    pub(crate) fn engine_handle(&self, place: usize) -> Result<Handle> {
-        let engines = lock(&self.engines);
-        engines[place % engines.len()].handle.share()
-    }
-
-    fn settings(&self, place: usize) -> PathBuf {
+    fn settings_path(&self, place: usize) -> PathBuf {
         self.options.folder.join(format!("entry-{place}.json5"))
     }
 
     /// Writes the settings of an entry with another bound on repeated sends.
     pub(crate) fn change_settings(&self, place: usize) -> Result<()> {
-        lock(&self.entries[place].spec).constant += 1;
+        lock(&self.entries[place].settings).retries.constant += 1.0;
         self.write_settings(place)
     }
 
     fn write_settings(&self, place: usize) -> Result<()> {
-        let text = standin::settings(&lock(&self.entries[place].spec));
-        let path = self.settings(place);
-        let written = std::fs::write(&path, text);
-        written.map_err(|error| Error::Setup(path.display().to_string().into(), error))
+        let path = self.settings_path(place);
+        let setup = |error| Error::Setup(path.display().to_string().into(), error);
+        let text = serde_json::to_vec(&*lock(&self.entries[place].settings));
+        std::fs::write(&path, text.map_err(|error| setup(error.into()))?).map_err(setup)
     }
 
     /// Starts the process of an entry.
     fn start_entry(&self, place: usize) -> Result<Process> {
         self.write_settings(place)?;
         let entry = &self.entries[place];
-        let path = self.settings(place);
+        let path = self.settings_path(place);
         let path = path.display().to_string();
         let log = self.options.folder.join(format!("entry-{place}.log"));
         let process = Process::start(&self.options.entry, &["--settings", &path], Some(&log))?;
@@ -415,8 +402,8 @@
         let entry = &self.entries[place];
         let start = *lock(&entry.start);
         let (listen, ready) = {
-            let spec = lock(&entry.spec);
-            (spec.listen, spec.ready)
+            let settings = lock(&entry.settings);
+            (settings.listen, settings.ready)
         };
         while self.lives(place, start) {
             if is_ready(ready).await.unwrap_or(false) {
@@ -502,35 +489,38 @@
     pub(crate) fn close(&self) {
         self.closing.store(true, Ordering::Relaxed);
     }
-
-    /// Returns the addresses at which the balancer asks entries whether they are ready.
-    pub(crate) fn ready(&self) -> Vec<SocketAddr> {
-        let entries = self.entries.iter();
-        entries.map(|entry| lock(&entry.spec).ready).collect()
-    }
 }
 
 /// Makes the settings of an entry.
-async fn spec(rows: &Rows, net: Net, place: usize) -> Result<(Spec, Gate)> {
+async fn settings(rows: &Rows, net: Net, place: usize) -> Result<(Settings, Gate)> {
     let gate = Gate::default();
     let at = |port| SocketAddr::new(net.entry(place), port);
     let setup = |error| Error::Setup("the store".into(), error);
-    let spec = Spec {
-        instance: format!("front-{place}").into(),
-        zone: zone(place).as_str().into(),
+    let settings = Settings {
+        instance: Name::new(&format!("front-{place}")),
+        zone: zone(place),
         listen: at(LISTEN),
         ready: at(READY),
         peers: at(PEERS),
         seeds: Vec::new(),
         metrics: at(METRICS),
         store: rows.open(gate.clone()).await.map_err(setup)?,
-        constant: 54,
+        grace: 8.0,
+        revocation: 5_000,
+        contact: 3_000,
+        drain: 2_000,
+        retries: Retries {
+            ratio: 0.2,
+            constant: 54.0,
+            window: 10.0,
+        },
+        memory: 110,
     };
-    Ok((spec, gate))
+    Ok((settings, gate))
 }
 
 /// Asks an entry whether it is ready.
-pub(crate) async fn is_ready(address: SocketAddr) -> std::io::Result<bool> {
+async fn is_ready(address: SocketAddr) -> std::io::Result<bool> {
     let path = ebonylug_adapter::headers::dialect().ready_path;
     let mut stream = TcpStream::connect(address).await?;
     let request = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
