Log the shared prompt parts of requests that broke at a target

The lines 'attempt failed' (connection broken) and 'stream interrupted' now have prompt_parts: the ids of all parts but the last, which is the request's own.

--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -457,6 +457,7 @@
             request = self.request.id.to_str().unwrap_or_default(),
             route = %self.request.route.name,
             target = self.last_target(),
+            prompt_parts = self.broken_parts(failure),
             ?failure,
             ran = failure.may_have_run(),
             attempts = self.tried.len(),
@@ -465,6 +466,12 @@
         );
     }
 
+    /// Returns the ids of the shared prompt parts if the attempt may have crashed its target.
+    fn broken_parts(&self, failure: &Failure) -> Option<String> {
+        let broken = matches!(failure, Failure::Unknown(_));
+        broken.then(|| self.request.shared_part_ids(&self.entry.dialect))?
+    }
+
     /// Logs and counts a failed attempt, and updates the state that decides about retries.
     fn record_failure(&mut self, failure: &Failure) {
         self.log_failure(failure);
--- a/crates/ebonylug-direct/src/request.rs
+++ b/crates/ebonylug-direct/src/request.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use crate::dialect::{Dialect, is_hop_by_hop};
@@ -259,10 +260,24 @@
     /// Returns the hash of the id of the prompt's last part, which is specific to the caller or its
     /// session.
     pub(crate) fn cache_key(&self, dialect: &Dialect) -> Option<u64> {
-        let text = self.headers.get(&dialect.prompt_parts)?.to_str().ok()?;
-        let last = text.rsplit(',').next()?;
-        let (id, _) = last.trim().split_once(':')?;
-        Some(ebonylug_dispatch::stable_hash(id))
+        let last = self.part_ids(dialect).last()?;
+        Some(ebonylug_dispatch::stable_hash(last))
+    }
+
+    /// Returns the ids of the prompt's parts, in order.
+    fn part_ids(&self, dialect: &Dialect) -> impl Iterator<Item = &str> {
+        let text = self.headers.get(&dialect.prompt_parts);
+        let text = text.and_then(|text| text.to_str().ok()).unwrap_or_default();
+        text.split(',')
+            .filter_map(|part| Some(part.trim().split_once(':')?.0))
+    }
+
+    /// Returns the ids of the prompt's parts that other requests may share, for log lines: all but the
+    /// last one, separated by commas. Returns `None` if there are none.
+    pub(crate) fn shared_part_ids(&self, dialect: &Dialect) -> Option<String> {
+        let mut ids: SmallVec<[&str; 4]> = self.part_ids(dialect).collect();
+        ids.pop();
+        (!ids.is_empty()).then(|| ids.join(","))
     }
 
     /// Returns the rank of the route, where 0 is the most urgent. The organisation's priority is not
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -198,6 +198,7 @@
                 part = "stream",
                 request = job.request.id.to_str().unwrap_or_default(),
                 target = job.entry.target_name(target),
+                prompt_parts = job.request.shared_part_ids(&job.entry.dialect),
                 last = self.events.last_id,
                 %error,
                 "stream interrupted"
