Test that a prompt part that crashes targets is quarantined (fails)

Three requests with different paths that share one prompt part crash three targets. The fourth is sent to the next target: the test gets 502 where it expects 503 with the reason quarantined. Sound requests with the same first part must be served.

The other test of a quarantine moves to the same file unchanged.

--- /dev/null
+++ b/crates/ebonylug-direct/tests/quarantine.rs
@@ -0,0 +1,85 @@
+//! Requests that crash the targets that run them.
+
+mod common;
+
+use common::{
+    Harness, ScriptedTarget, Step, get, read_message, run, status, success, unreachable_target,
+};
+use ebonylug_core::Name;
+use ebonylug_dispatch::Target;
+use tokio::net::TcpListener;
+
+/// Starts a target that reads one request, then closes the connection and its listener.
+async fn crashing_target(name: &str) -> Target {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("local address");
+    tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.expect("accept a connection");
+        read_message(&mut stream).await;
+    });
+    Target {
+        name: Name::new(name),
+        address,
+        ..unreachable_target()
+    }
+}
+
+/// Returns a request with a path of its own whose prompt has these parts.
+fn prompt(id: &str, parts: &str) -> String {
+    get("once", id)
+        .replace("/1?", &format!("/{id}?"))
+        .replace("x-id:", &format!("x-parts: {parts}\r\nx-id:"))
+}
+
+/// Guards against a request that crashes one target after another because its callers retry it.
+#[test]
+fn a_request_that_crashes_targets_is_quarantined() {
+    run(async {
+        let harness = Harness::start(&[]).await;
+        harness.entry.set_targets(vec![
+            crashing_target("engine-1").await,
+            crashing_target("engine-2").await,
+        ]);
+        assert_eq!(status(&harness.call(&get("safe", "r1")).await), 502);
+        // Another request detects that the targets are down.
+        let other = get("safe", "r2").replace("/1?", "/2?");
+        assert_eq!(status(&harness.call(&other).await), 503);
+        let healthy = ScriptedTarget::start("engine-3", vec![Step::Send(success("r4", "a"))]).await;
+        harness.entry.put_target(healthy.target());
+        let refused = harness.call(&get("safe", "r3")).await;
+        assert_eq!(status(&refused), 503);
+        assert!(refused.contains("quarantined"), "{refused}");
+        assert_eq!(healthy.request_count(), 0);
+        let other = get("safe", "r4").replace("/1?", "/2?");
+        assert_eq!(status(&harness.call(&other).await), 200);
+    });
+}
+
+/// Guards against different requests with a common prompt part that crash one target after another.
+#[test]
+fn a_prompt_part_that_crashes_targets_is_quarantined() {
+    run(async {
+        let harness = Harness::start(&[]).await;
+        let mut targets = Vec::new();
+        for name in ["engine-1", "engine-2", "engine-3"] {
+            targets.push(crashing_target(name).await);
+        }
+        harness.entry.set_targets(targets);
+        for id in ["r1", "r2", "r3"] {
+            let harmful = prompt(id, &format!("shared:60,harmful:900,{id}:40"));
+            assert_eq!(status(&harness.call(&harmful).await), 502);
+        }
+        let sound = prompt("r4", "shared:60,r4:900");
+        assert_eq!(status(&harness.call(&sound).await), 503);
+        let healthy = ScriptedTarget::start("engine-4", vec![Step::Send(success("r5", "a"))]).await;
+        harness.entry.put_target(healthy.target());
+        let sound = prompt("r5", "shared:60,r5:900");
+        assert_eq!(status(&harness.call(&sound).await), 200);
+        let refused = harness
+            .call(&prompt("r6", "shared:60,harmful:900,r6:40"))
+            .await;
+        assert_eq!(status(&refused), 503, "{refused}");
+        assert!(refused.contains("quarantined"), "{refused}");
+        assert_eq!(healthy.request_count(), 1);
+    });
+}
--- a/crates/ebonylug-direct/tests/requests.rs
+++ b/crates/ebonylug-direct/tests/requests.rs
@@ -5,13 +5,11 @@
 use std::time::Duration;
 
 use common::{
-    Harness, ScriptedTarget, Step, config, get, read_message, read_response, response, run, status,
-    success, unreachable_target, wait_until,
+    Harness, ScriptedTarget, Step, config, get, read_response, response, run, status, success,
+    wait_until,
 };
-use ebonylug_core::Name;
-use ebonylug_dispatch::{Quota, Target};
+use ebonylug_dispatch::Quota;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 
 /// Guards against a request that is forwarded with changes, with the API key, or with a caller's values for
 /// headers that only the entry may set.
@@ -416,42 +414,3 @@
         assert_eq!(target.request_count(), 1);
     });
 }
-
-/// Starts a target that reads one request, then closes the connection and its listener.
-async fn crashing_target(name: &str) -> Target {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("local address");
-    tokio::task::spawn_local(async move {
-        let (mut stream, _) = listener.accept().await.expect("accept a connection");
-        read_message(&mut stream).await;
-    });
-    Target {
-        name: Name::new(name),
-        address,
-        ..unreachable_target()
-    }
-}
-
-/// Guards against a request that crashes one target after another because its callers retry it.
-#[test]
-fn a_request_that_crashes_targets_is_quarantined() {
-    run(async {
-        let harness = Harness::start(&[]).await;
-        harness.entry.set_targets(vec![
-            crashing_target("engine-1").await,
-            crashing_target("engine-2").await,
-        ]);
-        assert_eq!(status(&harness.call(&get("safe", "r1")).await), 502);
-        // Another request detects that the targets are down.
-        let other = get("safe", "r2").replace("/1?", "/2?");
-        assert_eq!(status(&harness.call(&other).await), 503);
-        let healthy = ScriptedTarget::start("engine-3", vec![Step::Send(success("r4", "a"))]).await;
-        harness.entry.put_target(healthy.target());
-        let refused = harness.call(&get("safe", "r3")).await;
-        assert_eq!(status(&refused), 503);
-        assert!(refused.contains("quarantined"), "{refused}");
-        assert_eq!(healthy.request_count(), 0);
-        let other = get("safe", "r4").replace("/1?", "/2?");
-        assert_eq!(status(&harness.call(&other).await), 200);
-    });
-}
