Quarantine a prompt part that crashes targets, not only whole contents

The requests had one prompt part in common and differed in everything else.

Cause: the crash log counted fingerprints of the whole content (path, organisation, body). The class: attribution by an identity that is narrower than the cause.

Change: a request has several possible causes of a crash, its content and each prompt part that others may share (CrashCause). What three crashes have in common is refused, or two if it is a content alone. Parts need one crash more because records of one crash arrive from several entries one after the other, and because a wrong quarantine of a part affects more callers. A completed request clears its causes, and releases a part. A bystander that was resumed at two crashing targets is no longer quarantined, since the harmful part explains both.

The log grows with the parts, and each entry sent all of it for a second after any change, also after changes by others. An entry now sends the crashes that it changed itself, and the whole log every eight seconds as before.

The words of ebonylugctl quarantine and the line 'target crashed under requests' (quarantined) change with it.

--- a/crates/ebonylug-admission/src/admission.rs
+++ b/crates/ebonylug-admission/src/admission.rs
@@ -1,7 +1,7 @@
 use std::time::Instant;
 
 use ebonylug_core::{
-    AttemptId, End, EngineReport, Fence, Fingerprint, Gate, Incarnation, LoadReport, Offer, Reason,
+    AttemptId, CrashCause, End, EngineReport, Fence, Gate, Incarnation, LoadReport, Offer, Reason,
     Refusal, Revision, RevokeOutcome, Tokens,
 };
 use smallvec::SmallVec;
@@ -16,7 +16,7 @@
 use crate::reservation::Reservations;
 use crate::settings::TargetKind;
 use crate::stream::{Stream, Streams};
-use crate::{Action, AttemptIds, CrashId, CrashLog, Decision, FingerprintStatus, Settings};
+use crate::{Action, AttemptIds, CauseStatus, CrashId, CrashLog, Decision, Settings};
 
 /// The maximum number of attempts divided by this is the number of records that batch work leaves
 /// to interactive work.
@@ -157,7 +157,9 @@
             self.empty_since = now;
         }
         match end {
-            End::Answered => self.crashes.clear(stream.fingerprint),
+            End::Answered => {
+                self.crashes.clear(stream.fingerprint);
+            }
             End::Failed if stream.admitted >= self.limit.cold_since() => {
                 self.limit.record_failure(&self.settings);
             }
@@ -251,10 +253,10 @@
         self.crashes.merge(other)
     }
 
-    /// Releases a fingerprint from quarantine. Only for orders of an operator.
-    pub fn release(&mut self, fingerprint: Fingerprint) {
+    /// Releases a cause from quarantine. Only for orders of an operator.
+    pub fn release(&mut self, cause: impl Into<CrashCause>) {
         self.sequence += 1;
-        self.crashes.release(fingerprint);
+        self.crashes.release(cause);
     }
 
     /// Returns the crash log, including merged crashes of other processes.
@@ -319,7 +321,7 @@
     }
 
     /// Checks the rules that do not depend on the load.
-    fn check_rules(&mut self, offer: &Offer) -> Result<FingerprintStatus, Reason> {
+    fn check_rules(&mut self, offer: &Offer) -> Result<CauseStatus, Reason> {
         let must_not_run =
             self.history.is_tombstoned(offer.attempt) || self.refusals.contains(offer.attempt);
         if must_not_run {
@@ -343,7 +345,7 @@
             return Err(Reason::Down);
         }
         match self.crashes.status(offer.fingerprint) {
-            FingerprintStatus::Quarantined => Err(Reason::Quarantined),
+            CauseStatus::Quarantined => Err(Reason::Quarantined),
             status => Ok(status),
         }
     }
@@ -353,7 +355,7 @@
         &mut self,
         now: Instant,
         offer: &Offer,
-        status: FingerprintStatus,
+        status: CauseStatus,
     ) -> Result<AttemptIds, Reason> {
         if !self.has_record_space(offer) {
             return Err(Reason::Full);
@@ -363,7 +365,7 @@
             let wanted = self.streams.non_preemptible() + cost;
             self.headroom.observe(now, wanted.min(self.limit.tokens()));
         }
-        let suspect = status == FingerprintStatus::Suspect;
+        let suspect = status == CauseStatus::Suspect;
         let preempt =
             self.find_capacity(now, offer, cost, suspect)
                 .ok_or(if self.limit.is_cold() {
--- a/crates/ebonylug-admission/src/lib.rs
+++ b/crates/ebonylug-admission/src/lib.rs
@@ -107,6 +107,6 @@
 mod stream;
 
 pub use admission::Admission;
-pub use crash::{CrashId, CrashLog, FingerprintStatus};
+pub use crash::{CauseStatus, CrashId, CrashLog};
 pub use decision::{Action, AttemptIds, Decision};
 pub use settings::{Settings, TargetKind};
--- a/crates/ebonylug-admission/tests/crash.rs
+++ b/crates/ebonylug-admission/tests/crash.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use ebonylug_admission::{Admission, CrashId, CrashLog, FingerprintStatus, Settings};
+use ebonylug_admission::{Admission, CauseStatus, CrashId, CrashLog, Settings};
 use ebonylug_core::{End, EngineReport, Fingerprint, Incarnation, Reason, Tier};
 use support::{INCARNATION, crash_log, id, offer, reason, warm};
 
-use FingerprintStatus::{Clear, Quarantined, Suspect};
+use CauseStatus::{Clear, Quarantined, Suspect};
 
 fn crash(incarnation: u64, epoch: u64) -> CrashId {
     CrashId {
@@ -19,7 +19,7 @@
 /// that only ran at the same time.
 #[test]
 fn crashes_determine_the_status_of_a_fingerprint() {
-    type Row<'a> = (&'a [&'a [u64]], &'a [(u64, FingerprintStatus)]);
+    type Row<'a> = (&'a [&'a [u64]], &'a [(u64, CauseStatus)]);
     let table: &[Row] = &[
         (&[], &[(1, Clear)]),
         (&[&[1]], &[(1, Suspect), (2, Clear)]),
@@ -153,7 +153,7 @@
     admission.finish(now, id(1, 1), End::Crashed);
     assert_eq!(
         admission.crashes().quarantined().collect::<Vec<_>>(),
-        [Fingerprint(1)]
+        [Fingerprint(1).into()]
     );
     assert_eq!(admission.crashes().status(Fingerprint(2)), Clear);
     assert_eq!(reason(&send(&mut admission, 2)), Some(Reason::Quarantined));
--- a/crates/ebonylug-admission/tests/differential.rs
+++ b/crates/ebonylug-admission/tests/differential.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
 
-use ebonylug_admission::{Action, Admission, Decision, FingerprintStatus, Settings};
+use ebonylug_admission::{Action, Admission, CauseStatus, Decision, Settings};
 use ebonylug_core::{
     AttemptId, End, EngineReport, Fence, Fingerprint, Gate, Incarnation, LoadReport, Offer, Reason,
     Repeat, RequestId, Revision, RevokeOutcome, Tier, Tokens,
@@ -291,7 +291,7 @@
         }
     }
 
-    fn admitted(&mut self, offer: &Offer, before: &LoadReport, status: FingerprintStatus) {
+    fn admitted(&mut self, offer: &Offer, before: &LoadReport, status: CauseStatus) {
         assert!(self.ran.insert(offer.attempt), "an attempt runs twice");
         assert!(
             !self.never_run.contains(&offer.attempt),
@@ -304,12 +304,12 @@
             self.running.len() + self.ended.len() < MAX_ATTEMPTS,
             "memory bound"
         );
-        assert!(status != FingerprintStatus::Quarantined);
+        assert!(status != CauseStatus::Quarantined);
         assert!(
             self.running.values().all(|r| !r.exclusive),
             "admitted while a suspect runs"
         );
-        let exclusive = status == FingerprintStatus::Suspect;
+        let exclusive = status == CauseStatus::Suspect;
         assert!(
             !exclusive || self.running.is_empty(),
             "a suspect admitted while others run"
@@ -356,7 +356,7 @@
         &mut self,
         o: &Offer,
         before: &LoadReport,
-        status: FingerprintStatus,
+        status: CauseStatus,
         why: Option<Reason>,
     ) {
         assert!(
@@ -369,7 +369,7 @@
         if !no_capacity
             || !o.tier.is_interactive()
             || records_full
-            || status == FingerprintStatus::Suspect
+            || status == CauseStatus::Suspect
         {
             return;
         }
--- a/crates/ebonylug-core/src/lib.rs
+++ b/crates/ebonylug-core/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod attempt;
 mod clock;
+mod crash_cause;
 mod id;
 mod message;
 mod name;
@@ -30,6 +31,7 @@
 
 pub use attempt::{AttemptId, End, Outcome, RevokeOutcome};
 pub use clock::{Clock, ManualClock, SystemClock};
+pub use crash_cause::CrashCause;
 pub use id::{Fence, Fingerprint, Incarnation, ParseIdError, RequestId, Revision};
 pub use message::{EngineReport, Gate, LoadReport, Offer, Reason, Refusal, Repeat};
 pub use name::Name;
--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use ebonylug_core::{Clock, Fingerprint, Incarnation, Name};
+use ebonylug_core::{Clock, CrashCause, Incarnation, Name};
 use ebonylug_dispatch::{
     Config, CrashDetector, Decision, Freshness, Peers, Placement, PlacementRequest, QuotaTolerance,
     Quotas, Reason, Refusal, RetryBudget, RetryRule, Scheduler, TableState, Target, TargetKey,
@@ -413,33 +413,38 @@
         receiver.await.unwrap_or(Err(refusal))
     }
 
-    /// Reports whether a request is refused because identical requests have crashed their targets.
-    pub(crate) fn is_quarantined(&self, request: Fingerprint) -> bool {
-        self.state.borrow().crashes.is_quarantined(request)
+    /// Reports whether a request is refused because requests with the same content or a common prompt
+    /// part have crashed their targets.
+    pub(crate) fn is_quarantined(&self, causes: &[CrashCause]) -> bool {
+        self.state.borrow().crashes.is_quarantined(causes)
     }
 
     /// Records that the connection to a target failed while it ran a request.
-    pub(crate) fn record_broken(&self, target: TargetKey, request: Fingerprint) {
+    pub(crate) fn record_broken(&self, target: TargetKey, causes: &[CrashCause]) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        if let Some(target) = state.scheduler.target(target).cloned() {
-            state
+        if let Some(target) = state.scheduler.target(target).cloned()
+            && state
                 .crashes
-                .record_broken(now, &target.name, target.started_ms, request);
+                .record_broken(now, &target.name, target.started_ms, causes)
+        {
+            state.log_crash(&target);
         }
     }
 
-    /// Reports whether messages include the crash log: after a change, and periodically.
+    /// Reports whether messages include the whole crash log, as they do periodically.
     pub(crate) fn sends_crash_log(&self) -> bool {
-        let now = self.clock.now();
-        let state = self.state.borrow();
         let repeat = millis(self.age()) % millis(CRASH_LOG_INTERVAL) < millis(CRASH_LOG_WINDOW);
-        !state.crashes.is_empty() && (repeat || state.crashes.changed_recently(now))
+        repeat && !self.state.borrow().crashes.is_empty()
     }
 
     /// Records that a target has run a request to completion.
-    pub(crate) fn record_completed(&self, request: Fingerprint) {
-        self.state.borrow_mut().crashes.record_completed(request);
+    pub(crate) fn record_completed(&self, causes: &[CrashCause]) {
+        let now = self.clock.now();
+        self.state
+            .borrow_mut()
+            .crashes
+            .record_completed(now, causes);
     }
 
     /// Puts a connection back into the pool, within this entry's share of the connections that the target
--- a/crates/ebonylug-direct/src/exchange.rs
+++ b/crates/ebonylug-direct/src/exchange.rs
@@ -17,7 +17,8 @@
     }
 
     /// Creates the next message to the other entries. [`Content::Quotas`] has the usage that changed within
-    /// `span`, [`Content::Paces`] all usage. `crashes` adds the crash log to messages with usage.
+    /// `span`, [`Content::Paces`] all usage. Messages with usage have the recent changes of the crash log, or
+    /// all of it if `crashes` is set.
     pub(crate) fn next_gossip(&self, content: Content, span: Duration, crashes: bool) -> Gossip {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
@@ -50,9 +51,10 @@
             },
             moves,
             evidence,
-            crashes: match quotas && crashes {
-                true => state.crashes.log().clone(),
-                false => CrashLog::new(),
+            crashes: match (quotas, crashes) {
+                (false, _) => CrashLog::new(),
+                (true, false) => state.crashes.recent_changes(now),
+                (true, true) => state.crashes.log().clone(),
             },
         }
     }
@@ -62,7 +64,7 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         state.moves.merge(&gossip.moves, &gossip.evidence);
-        if state.crashes.merge(now, &gossip.crashes) {
+        if state.crashes.merge(&gossip.crashes) {
             tracing::info!(part = "crashes", peer = %gossip.entry, "crash records received");
         }
         let age = Duration::from_millis(u64::from(gossip.age));
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -171,7 +171,7 @@
         return Err(refuse(Reason::Stale, STALE_RETRY_AFTER));
     }
     let request = request::read(entry, &config, parts, body, matched).await?;
-    if entry.is_quarantined(request.fingerprint) {
+    if entry.is_quarantined(&request.causes) {
         return Err(refuse(Reason::Quarantined, QUARANTINE_RETRY_AFTER));
     }
     let Some(service) = request.route.pick_service(entry.random()).cloned() else {
@@ -202,7 +202,7 @@
     match result? {
         TargetResponse::Complete(head, body) => {
             let failed = head.status.is_server_error();
-            entry.record_completed(job.request.fingerprint);
+            entry.record_completed(&job.request.causes);
             let outcome = if failed { "failed_by_target" } else { "served" };
             let time = job.request.arrived.elapsed();
             entry
@@ -477,7 +477,7 @@
         self.log_failure(failure);
         self.sent += u32::from(!matches!(failure, Failure::Unsent(_)));
         if let (Failure::Unknown(_), Some(&target)) = (failure, self.tried.last()) {
-            self.entry.record_broken(target, self.request.fingerprint);
+            self.entry.record_broken(target, &self.request.causes);
         }
         if failure.may_have_run() {
             self.ran += 1;
@@ -514,7 +514,7 @@
     pub(crate) fn take_retry(&self) -> bool {
         self.sent < self.request.route.max_attempts
             && self.has_time()
-            && !self.entry.is_quarantined(self.request.fingerprint)
+            && !self.entry.is_quarantined(&self.request.causes)
             && self.entry.take_retry(&self.service)
     }
 
--- a/crates/ebonylug-direct/src/request.rs
+++ b/crates/ebonylug-direct/src/request.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use ebonylug_core::{Fingerprint, Name};
-use ebonylug_dispatch::{Config, Organisation, Reason, Refusal, Route};
+use ebonylug_core::{CrashCause, Fingerprint, Name};
+use ebonylug_dispatch::{Config, Organisation, Reason, Refusal, RequestCauses, Route};
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header};
@@ -35,8 +35,8 @@
     /// The caller's headers that are forwarded to targets.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    /// The hash of path, organisation and body.
-    pub(crate) fingerprint: Fingerprint,
+    /// The content and the shared prompt parts, which may make the request crash its targets.
+    pub(crate) causes: RequestCauses,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(crate) deadline: Instant,
     pub(crate) arrived: Instant,
@@ -139,10 +139,17 @@
         return Err(reject(StatusCode::REQUEST_TIMEOUT, "the body is too slow"));
     };
     let (body, memory) = read?;
+    let headers = forwarded_headers(dialect, &parts.headers);
+    let content = content_fingerprint(&parts.uri, matched.organisation.as_deref(), &body);
+    let causes = shared_parts(dialect, &headers)
+        .into_iter()
+        .map(|id| CrashCause::PromptPart(Fingerprint::of(id.as_bytes())))
+        .chain([content.into()])
+        .collect();
     Ok(BufferedRequest {
         id,
-        fingerprint: fingerprint(&parts.uri, matched.organisation.as_deref(), &body),
-        headers: forwarded_headers(dialect, &parts.headers),
+        causes,
+        headers,
         route: matched.route,
         organisation: matched.organisation,
         method: parts.method,
@@ -154,8 +161,23 @@
     })
 }
 
+/// Returns the ids of the prompt's parts, in order.
+fn part_ids<'a>(dialect: &Dialect, headers: &'a HeaderMap) -> impl Iterator<Item = &'a str> {
+    let text = headers.get(&dialect.prompt_parts);
+    let text = text.and_then(|text| text.to_str().ok()).unwrap_or_default();
+    text.split(',')
+        .filter_map(|part| Some(part.trim().split_once(':')?.0))
+}
+
+/// Returns the ids of the prompt's parts that other requests may share: all but the last one.
+fn shared_parts<'a>(dialect: &Dialect, headers: &'a HeaderMap) -> SmallVec<[&'a str; 4]> {
+    let mut ids: SmallVec<[&str; 4]> = part_ids(dialect, headers).collect();
+    ids.pop();
+    ids
+}
+
 /// Returns the fingerprint that identifies repeated requests in crash records.
-fn fingerprint(uri: &Uri, organisation: Option<&Organisation>, body: &[u8]) -> Fingerprint {
+fn content_fingerprint(uri: &Uri, organisation: Option<&Organisation>, body: &[u8]) -> Fingerprint {
     let path = uri.path_and_query().map_or("", PathAndQuery::as_str);
     let organisation = organisation.map_or("", |organisation| organisation.name.as_str());
     let mut content = Vec::with_capacity(path.len() + organisation.len() + body.len() + 2);
@@ -260,23 +282,14 @@
     /// Returns the hash of the id of the prompt's last part, which is specific to the caller or its
     /// session.
     pub(crate) fn cache_key(&self, dialect: &Dialect) -> Option<u64> {
-        let last = self.part_ids(dialect).last()?;
+        let last = part_ids(dialect, &self.headers).last()?;
         Some(ebonylug_dispatch::stable_hash(last))
     }
 
-    /// Returns the ids of the prompt's parts, in order.
-    fn part_ids(&self, dialect: &Dialect) -> impl Iterator<Item = &str> {
-        let text = self.headers.get(&dialect.prompt_parts);
-        let text = text.and_then(|text| text.to_str().ok()).unwrap_or_default();
-        text.split(',')
-            .filter_map(|part| Some(part.trim().split_once(':')?.0))
-    }
-
-    /// Returns the ids of the prompt's parts that other requests may share, for log lines: all but the
-    /// last one, separated by commas. Returns `None` if there are none.
+    /// Returns the ids of the prompt's shared parts for log lines, separated by commas, or `None` if there
+    /// are none.
     pub(crate) fn shared_part_ids(&self, dialect: &Dialect) -> Option<String> {
-        let mut ids: SmallVec<[&str; 4]> = self.part_ids(dialect).collect();
-        ids.pop();
+        let ids = shared_parts(dialect, &self.headers);
         (!ids.is_empty()).then(|| ids.join(","))
     }
 
--- a/crates/ebonylug-direct/src/state.rs
+++ b/crates/ebonylug-direct/src/state.rs
@@ -112,11 +112,18 @@
             .crashes
             .record_down(now, &target.name, target.started_ms)
         {
-            let crashes = self.crashes.log().len();
-            tracing::info!(part = "crashes", target = %target.name, crashes, "target crashed under requests");
+            self.log_crash(target);
         }
     }
 
+    /// Logs that a target has crashed, and what is quarantined now.
+    pub(crate) fn log_crash(&self, target: &Target) {
+        let log = self.crashes.log();
+        let quarantined: Vec<String> = log.quarantined().map(|cause| cause.to_string()).collect();
+        let (crashes, quarantined) = (log.len(), quarantined.join(","));
+        tracing::info!(part = "crashes", target = %target.name, crashes, quarantined, "target crashed under requests");
+    }
+
     /// Sets the versions that may serve a request. If no target of the chosen version can, all other
     /// versions may.
     pub(crate) fn with_versions(&mut self, mut request: PlacementRequest) -> PlacementRequest {
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -192,7 +192,7 @@
             };
             opened.slot.set_outcome(Outcome::Broken);
             let (job, target) = (&self.job, opened.slot.target());
-            job.entry.record_broken(target, job.request.fingerprint);
+            job.entry.record_broken(target, &job.request.causes);
             drop(opened);
             tracing::info!(
                 part = "stream",
@@ -266,9 +266,7 @@
     fn finish(&mut self, opened: OpenResponse) {
         self.log_served(&opened);
         self.job.mark_finished();
-        self.job
-            .entry
-            .record_completed(self.job.request.fingerprint);
+        self.job.entry.record_completed(&self.job.request.causes);
         let kind = Some(self.job.request.route.kind);
         let time = self.job.request.arrived.elapsed();
         self.job
--- a/crates/ebonylug-dispatch/src/crashes.rs
+++ b/crates/ebonylug-dispatch/src/crashes.rs
@@ -2,8 +2,8 @@
 use std::num::NonZeroUsize;
 use std::time::{Duration, Instant};
 
-use ebonylug_admission::{CrashId, CrashLog, FingerprintStatus};
-use ebonylug_core::{Fingerprint, Incarnation, Name};
+use ebonylug_admission::{CauseStatus, CrashId, CrashLog};
+use ebonylug_core::{CrashCause, Incarnation, Name};
 use lru::LruCache;
 use smallvec::SmallVec;
 
@@ -13,11 +13,18 @@
 /// ejected target is probed again within two seconds, and its row is removed after three missed
 /// intervals.
 const CORRELATION_WINDOW: Duration = Duration::from_secs(5);
-/// Number of recently completed requests whose content is remembered. An entry serves fewer in a minute.
+/// Number of recently completed contents and prompt parts that are remembered. An entry completes fewer
+/// in [`COMPLETION_VALIDITY`].
 const MAX_COMPLETED: NonZeroUsize = NonZeroUsize::new(4_096).expect("the capacity is not zero");
-/// Time after a change for which all gossip messages include the log.
+/// Time for which a completed run proves that its content and prompt parts are harmless. What was harmless
+/// may become harmful with a new version of the targets.
+const COMPLETION_VALIDITY: Duration = Duration::from_secs(60);
+/// Time after a change for which gossip messages include it.
 const BROADCAST_PERIOD: Duration = Duration::from_secs(1);
 
+/// The content and the shared prompt parts of a request, which may make it crash its target.
+pub type RequestCauses = SmallVec<[CrashCause; 4]>;
+
 /// One run of a target: the hash of its name, and its start time in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct TargetRun(u64, u64);
@@ -25,40 +32,42 @@
 /// Recent signals of a possible crash of one run of a target.
 #[derive(Debug, Default)]
 struct RunSignals {
-    broken: SmallVec<[(Instant, Fingerprint); 4]>,
+    broken: SmallVec<[(Instant, RequestCauses); 4]>,
     down: Option<Instant>,
 }
 
-/// Detects requests that crash the targets that run them. Requests are identified by the fingerprint of
-/// their content, so that retries of a request count together.
+/// Detects what crashes the targets that run it: a request that its callers retry, or a part of the
+/// prompt that different requests share.
 ///
 /// A request may have crashed its target if its connection broke and the target was down at about the
-/// same time. Connections also break for other reasons, so both signals are required, and contents
-/// that have completed before are excluded. [`CrashLog`] decides which contents to quarantine, based on
+/// same time. Connections also break for other reasons, so both signals are required, and causes
+/// that have completed recently are excluded. [`CrashLog`] decides what to quarantine, based on
 /// the crashes that all entries have detected.
 ///
 /// ```
 /// use std::time::Instant;
-/// use ebonylug_core::{Fingerprint, Name};
+/// use ebonylug_core::{CrashCause, Fingerprint, Name};
 /// use ebonylug_dispatch::CrashDetector;
 ///
 /// let now = Instant::now();
 /// let mut crashes = CrashDetector::default();
-/// let bad = Fingerprint::of(b"bad");
-/// for target in ["engine-1", "engine-2"].map(Name::new) {
-///     crashes.record_broken(now, &target, 1, bad);
-///     assert!(!crashes.is_quarantined(bad));
-///     crashes.record_down(now, &target, 1);
+/// let part = CrashCause::PromptPart(Fingerprint::of(b"bad"));
+/// for (target, content) in [("engine-1", b"x"), ("engine-2", b"y"), ("engine-3", b"z")] {
+///     let causes = [Fingerprint::of(content).into(), part];
+///     crashes.record_broken(now, &Name::new(target), 1, &causes);
+///     assert!(!crashes.is_quarantined(&[part]));
+///     crashes.record_down(now, &Name::new(target), 1);
 /// }
-/// assert!(crashes.is_quarantined(bad));
+/// assert!(crashes.is_quarantined(&[part]));
 /// ```
 #[derive(Debug)]
 pub struct CrashDetector {
     log: CrashLog,
     signals: HashMap<TargetRun, RunSignals>,
-    /// Fingerprints of requests that have completed.
-    completed: LruCache<Fingerprint, ()>,
-    last_change: Option<Instant>,
+    /// What has completed, and when last.
+    completed: LruCache<CrashCause, Instant>,
+    /// The crashes that this entry has changed within [`BROADCAST_PERIOD`].
+    changes: Vec<(Instant, CrashId)>,
 }
 
 impl Default for CrashDetector {
@@ -67,27 +76,29 @@
             log: CrashLog::new(),
             signals: HashMap::new(),
             completed: LruCache::new(MAX_COMPLETED),
-            last_change: None,
+            changes: Vec::new(),
         }
     }
 }
 
 impl CrashDetector {
-    /// Records that the connection of a request broke at a target that started at `started_ms`.
+    /// Records that the connection of a request broke at a target that started at `started_ms`. Returns
+    /// whether the target is known to be down, so that this is a crash.
     pub fn record_broken(
         &mut self,
         now: Instant,
         target: &Name,
         started_ms: u64,
-        content: Fingerprint,
-    ) {
-        if self.completed.contains(&content) {
-            return;
+        causes: &[CrashCause],
+    ) -> bool {
+        let suspects = self.suspects(now, causes);
+        if suspects.is_empty() {
+            return false;
         }
         let run = TargetRun(stable_hash(target.as_str()), started_ms);
         let signals = self.signals.entry(run).or_default();
-        signals.broken.push((now, content));
-        self.correlate(now, run);
+        signals.broken.push((now, suspects));
+        self.correlate(now, run)
     }
 
     /// Records that a target that started at `started_ms` refuses connections or has restarted. Returns
@@ -98,31 +109,30 @@
         self.correlate(now, run)
     }
 
-    /// Records that a request has completed, which clears its content of suspicion.
-    pub fn record_completed(&mut self, content: Fingerprint) {
-        self.completed.put(content, ());
-        self.log.clear(content);
+    /// Records that a request has completed, which clears its causes of suspicion.
+    pub fn record_completed(&mut self, now: Instant, causes: &[CrashCause]) {
+        for &cause in causes {
+            self.completed.put(cause, now);
+            let changed = self.log.clear(cause);
+            self.changes.extend(changed.into_iter().map(|id| (now, id)));
+        }
     }
 
-    /// Reports whether requests with this content must not run.
+    /// Reports whether requests with these causes must not run.
     #[must_use]
-    pub fn is_quarantined(&self, content: Fingerprint) -> bool {
-        self.log.status(content) == FingerprintStatus::Quarantined
+    pub fn is_quarantined(&self, causes: &[CrashCause]) -> bool {
+        self.log.request_status(causes) == CauseStatus::Quarantined
     }
 
-    /// Reports whether no crash is known, in which case no content is quarantined.
+    /// Reports whether no crash is known, in which case nothing is quarantined.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.log.is_empty()
     }
 
     /// Merges the log of another entry. Returns whether it contained anything new.
-    pub fn merge(&mut self, now: Instant, log: &CrashLog) -> bool {
-        let changed = self.log.merge(log);
-        if changed {
-            self.last_change = Some(now);
-        }
-        changed
+    pub fn merge(&mut self, log: &CrashLog) -> bool {
+        self.log.merge(log)
     }
 
     /// Returns the log of known crashes, which is sent to peers.
@@ -131,11 +141,12 @@
         &self.log
     }
 
-    /// Reports whether the log changed within the last second.
+    /// Returns the crashes that this entry has changed within the last second.
     #[must_use]
-    pub fn changed_recently(&self, now: Instant) -> bool {
-        let recent = |time| now.saturating_duration_since(time) < BROADCAST_PERIOD;
-        self.last_change.is_some_and(recent)
+    pub fn recent_changes(&self, now: Instant) -> CrashLog {
+        let recent = |time: Instant| now.saturating_duration_since(time) < BROADCAST_PERIOD;
+        let changes = self.changes.iter().filter(|(time, _)| recent(*time));
+        self.log.only(changes.map(|(_, id)| *id))
     }
 
     /// Removes signals that were not followed by the other kind in time.
@@ -146,6 +157,17 @@
             signals.down = signals.down.filter(|&time| recent(time));
             signals.down.is_some() || !signals.broken.is_empty()
         });
+        self.changes.retain(|(time, _)| recent(*time));
+    }
+
+    /// Returns the causes that have not completed recently.
+    fn suspects(&self, now: Instant, causes: &[CrashCause]) -> RequestCauses {
+        let completed = |cause: &CrashCause| {
+            let time = self.completed.peek(cause);
+            time.is_some_and(|&time| now.saturating_duration_since(time) < COMPLETION_VALIDITY)
+        };
+        let suspects = causes.iter().filter(|cause| !completed(cause));
+        suspects.copied().collect()
     }
 
     /// Records a crash if both signals are present.
@@ -159,19 +181,18 @@
         }
         let broken = std::mem::take(&mut signals.broken);
         let broken = broken.into_iter().filter(|(time, _)| recent(*time));
-        let contents: SmallVec<[Fingerprint; 4]> = broken
-            .map(|(_, content)| content)
-            .filter(|content| !self.completed.contains(content))
+        let causes: RequestCauses = broken
+            .flat_map(|(_, causes)| self.suspects(now, &causes))
             .collect();
-        if contents.is_empty() {
+        if causes.is_empty() {
             return false;
         }
         let id = CrashId {
             incarnation: Incarnation(run.0),
             epoch: run.1,
         };
-        self.log.record(id, contents);
-        self.last_change = Some(now);
+        self.log.record(id, causes);
+        self.changes.push((now, id));
         true
     }
 }
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -91,7 +91,7 @@
     pub moves: Vec<RolloutStatus>,
     /// The entry's own recent evidence about versions in a move.
     pub evidence: Evidence,
-    /// Known crashes of targets. Omitted from most messages.
+    /// Crashes of targets: those that the entry has recently changed, and from time to time all known ones.
     pub crashes: CrashLog,
 }
 
--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -13,7 +13,7 @@
 //! - [`RetryBudget`]: one entry's share of the retry budget.
 //! - [`Freshness`]: whether the configuration is recent enough to accept its API keys.
 //! - [`Peers`]: the last reported state of the other entries.
-//! - [`CrashDetector`]: requests that crash the targets that run them.
+//! - [`CrashDetector`]: requests and prompt parts that crash the targets that run them.
 //! - [`Rollout`]: a move of a service to another version.
 //!
 //! # Limits across entries
@@ -46,7 +46,7 @@
 
 pub use budget::{RetryBudget, RetryRule};
 pub use config::{Config, Limits, Organisation, Quota, RawConfig, Route, RouteKind, Service};
-pub use crashes::CrashDetector;
+pub use crashes::{CrashDetector, RequestCauses};
 pub use freshness::Freshness;
 pub use gossip::{Gossip, PeerChange, Peers, RolloutStatus, TargetLoad, TargetPace, Usage};
 pub use hash::stable_hash;
--- a/crates/ebonylug-dispatch/src/overview.rs
+++ b/crates/ebonylug-dispatch/src/overview.rs
@@ -1,4 +1,4 @@
-use ebonylug_core::Fingerprint;
+use ebonylug_core::CrashCause;
 use serde::{Deserialize, Serialize};
 
 use crate::gossip::RolloutStatus;
@@ -31,8 +31,8 @@
     pub targets: Vec<TargetOverview>,
     /// The active moves.
     pub moves: Vec<RolloutStatus>,
-    /// Fingerprints of requests that are refused because they crash targets.
-    pub quarantined: Vec<Fingerprint>,
+    /// What is refused because it crashes targets: contents and prompt parts.
+    pub quarantined: Vec<CrashCause>,
 }
 
 /// An entry's view of a target, as shown to operators.
--- a/crates/ebonylug-entry/src/operator.rs
+++ b/crates/ebonylug-entry/src/operator.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use ebonylug_config::WatchUpdate;
-use ebonylug_core::{Name, Revision};
+use ebonylug_core::{CrashCause, Name, Revision};
 use ebonylug_net::key::same_hash;
 use ebonylug_net::serve::{self, HttpResponse, Request};
 use ebonylug_net::wire;
@@ -125,7 +125,7 @@
             &timeline::collect(shared).await,
         )),
         (&Method::GET, ["quarantine"]) => Ok(quarantine(shared)),
-        (&Method::DELETE, ["quarantine", fingerprint]) => release(shared, fingerprint),
+        (&Method::DELETE, ["quarantine", cause]) => release(shared, cause),
         _ => Err(Problem::not_found("there is no such path")),
     }
 }
@@ -295,12 +295,12 @@
     )
 }
 
-fn release(shared: &Shared, fingerprint: &str) -> Result<HttpResponse> {
-    let fingerprint = fingerprint.parse().map_err(|error| {
-        Problem::malformed("fingerprint", "not a fingerprint", &format!("{error}"))
-    })?;
-    shared.fleet.update_crashes(|log| log.release(fingerprint));
-    tracing::info!(%fingerprint, "entry: operator released fingerprint from quarantine");
+fn release(shared: &Shared, cause: &str) -> Result<HttpResponse> {
+    let cause: CrashCause = cause
+        .parse()
+        .map_err(|error| Problem::malformed("cause", "not a fingerprint", &format!("{error}")))?;
+    shared.fleet.update_crashes(|log| log.release(cause));
+    tracing::info!(%cause, "entry: operator released a cause of crashes from quarantine");
     Ok(quarantine(shared))
 }
 
--- a/crates/ebonylugctl/src/api.rs
+++ b/crates/ebonylugctl/src/api.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use ebonylug_core::{Fingerprint, Name, Revision};
+use ebonylug_core::{CrashCause, Name, Revision};
 use ebonylug_dispatch::Overview;
 use ebonylug_events::Event;
 use ebonylug_net::client::{self, Client};
@@ -67,8 +67,8 @@
 /// The requests that are rejected because they crash targets.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Quarantined {
-    /// Fingerprints of the requests.
-    pub quarantined: Vec<Fingerprint>,
+    /// The contents and prompt parts whose requests are refused.
+    pub quarantined: Vec<CrashCause>,
 }
 
 /// Whether a change is published or only validated.
@@ -175,8 +175,8 @@
         self.read("quarantine", CALL_TIMEOUT).await
     }
 
-    pub async fn release(&self, fingerprint: Fingerprint) -> Result<Quarantined> {
-        let path = format!("quarantine/{fingerprint}");
+    pub async fn release(&self, cause: CrashCause) -> Result<Quarantined> {
+        let path = format!("quarantine/{cause}");
         let call = self.call(Method::DELETE, &path, Bytes::new(), Precondition::Any);
         parse(&self.send(call, CALL_TIMEOUT).await?)
     }
--- a/crates/ebonylugctl/src/arguments.rs
+++ b/crates/ebonylugctl/src/arguments.rs
@@ -4,7 +4,7 @@
 
 use bpaf::Bpaf;
 
-use ebonylug_core::{Fingerprint, Name, RequestId, Revision};
+use ebonylug_core::{CrashCause, Name, RequestId, Revision};
 use ebonylug_resource::{Kind, Share, Span, Timestamp};
 
 use crate::connection::{Connection, connection};
@@ -211,10 +211,10 @@
 
 #[derive(Clone, Debug, PartialEq, Bpaf)]
 pub(crate) enum Quarantine {
-    /// Show the fingerprints of requests in quarantine
+    /// Show what is in quarantine
     #[bpaf(command)]
     List(#[bpaf(external(quarantine_list))] QuarantineList),
-    /// Allow requests with a fingerprint again
+    /// Allow requests with a quarantined content or prompt part again
     #[bpaf(command)]
     Release(#[bpaf(external(quarantine_release))] QuarantineRelease),
 }
@@ -233,7 +233,7 @@
     pub connection: Connection,
     /// Fingerprint, as the list shows it
     #[bpaf(positional("FINGERPRINT"))]
-    pub fingerprint: Fingerprint,
+    pub cause: CrashCause,
 }
 
 impl Arguments {
--- a/crates/ebonylugctl/src/command/quarantine.rs
+++ b/crates/ebonylugctl/src/command/quarantine.rs
@@ -1,11 +1,11 @@
-use ebonylug_core::Fingerprint;
+use ebonylug_core::CrashCause;
 
 use crate::api::ApiClient;
 use crate::arguments::Quarantine;
 use crate::output::Format;
 use crate::{Console, Error, Outcome, Result};
 
-/// Lists the quarantine or releases a fingerprint from it.
+/// Lists the quarantine or releases a cause from it.
 pub async fn run(
     api: &ApiClient,
     command: &Quarantine,
@@ -18,28 +18,24 @@
                 console.json(&quarantined)?;
                 return Ok(Outcome::Done);
             }
-            for fingerprint in &quarantined.quarantined {
-                console.line(fingerprint)?;
+            for cause in &quarantined.quarantined {
+                console.line(cause)?;
             }
             Ok(Outcome::Done)
         }
-        Quarantine::Release(release) => self::release(api, release.fingerprint, console).await,
+        Quarantine::Release(release) => self::release(api, release.cause, console).await,
     }
 }
 
-/// Releases a fingerprint. Rejects one that is not in quarantine, since it is most likely mistyped.
-async fn release(
-    api: &ApiClient,
-    fingerprint: Fingerprint,
-    console: &mut Console<'_>,
-) -> Result<Outcome> {
+/// Releases a cause. Rejects one that is not in quarantine, since it is most likely mistyped.
+async fn release(api: &ApiClient, cause: CrashCause, console: &mut Console<'_>) -> Result<Outcome> {
     let before = api.quarantined().await?;
-    if !before.quarantined.contains(&fingerprint) {
+    if !before.quarantined.contains(&cause) {
         return Err(Error::invalid_input(format!(
-            "{fingerprint} is not in quarantine"
+            "{cause} is not in quarantine"
         )));
     }
-    api.release(fingerprint).await?;
-    console.line(format_args!("{fingerprint} is released"))?;
+    api.release(cause).await?;
+    console.line(format_args!("{cause} is released"))?;
     Ok(Outcome::Done)
 }
