Check at once whether a target is down after a connection to it broke

A crash counts once a connection broke and the target is down.

The entry now opens a connection to the target as soon as one breaks under a request that may have crashed it, at most one at a time for each target. If the target is alive, the connection goes to the pool in place of the broken one.

a_crash_is_recorded_without_another_request failed before (nothing quarantined in 20 s without another request) and passes. What an entry records about crashes moves to a file of its own.

--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use ebonylug_core::{Clock, CrashCause, Incarnation, Name};
+use ebonylug_core::{Clock, Incarnation, Name};
 use ebonylug_dispatch::{
     Config, CrashDetector, Decision, Freshness, Peers, Placement, PlacementRequest, QuotaTolerance,
     Quotas, Reason, Refusal, RetryBudget, RetryRule, Scheduler, TableState, Target, TargetKey,
@@ -25,11 +25,6 @@
 /// One in this many of the requests served in time is logged. All requests that fail, are refused or are
 /// late are logged.
 const LOG_SAMPLE_RATE: u64 = 100;
-/// Interval at which the crash log is sent again, in case messages were lost.
-const CRASH_LOG_INTERVAL: Duration = Duration::from_secs(8);
-/// Time for which messages then include the crash log. Each other entry gets a message in this time.
-const CRASH_LOG_WINDOW: Duration = Duration::from_millis(400);
-
 /// The settings of an entry.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -86,6 +81,8 @@
     pub(crate) stopped: Cell<bool>,
     /// The number of requests in progress.
     pub(crate) active: Cell<usize>,
+    /// Targets that are being checked for a crash.
+    pub(crate) checked: RefCell<HashSet<TargetKey>>,
     /// The number of requests served in time.
     served: Cell<u64>,
     pub(crate) state: RefCell<State>,
@@ -152,6 +149,7 @@
             stopping: Cell::new(false),
             stopped: Cell::new(false),
             active: Cell::new(0),
+            checked: RefCell::default(),
             served: Cell::new(0),
             state: RefCell::new(state),
             boot,
@@ -413,40 +411,6 @@
         receiver.await.unwrap_or(Err(refusal))
     }
 
-    /// Reports whether a request is refused because requests with the same content or a common prompt
-    /// part have crashed their targets.
-    pub(crate) fn is_quarantined(&self, causes: &[CrashCause]) -> bool {
-        self.state.borrow().crashes.is_quarantined(causes)
-    }
-
-    /// Records that the connection to a target failed while it ran a request.
-    pub(crate) fn record_broken(&self, target: TargetKey, causes: &[CrashCause]) {
-        let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
-        if let Some(target) = state.scheduler.target(target).cloned()
-            && state
-                .crashes
-                .record_broken(now, &target.name, target.started_ms, causes)
-        {
-            state.log_crash(&target);
-        }
-    }
-
-    /// Reports whether messages include the whole crash log, as they do periodically.
-    pub(crate) fn sends_crash_log(&self) -> bool {
-        let repeat = millis(self.age()) % millis(CRASH_LOG_INTERVAL) < millis(CRASH_LOG_WINDOW);
-        repeat && !self.state.borrow().crashes.is_empty()
-    }
-
-    /// Records that a target has run a request to completion.
-    pub(crate) fn record_completed(&self, causes: &[CrashCause]) {
-        let now = self.clock.now();
-        self.state
-            .borrow_mut()
-            .crashes
-            .record_completed(now, causes);
-    }
-
     /// Puts a connection back into the pool, within this entry's share of the connections that the target
     /// accepts from all entries.
     pub(crate) fn release_connection(&self, connection: PooledConnection) {
--- a/crates/ebonylug-direct/src/lib.rs
+++ b/crates/ebonylug-direct/src/lib.rs
@@ -22,6 +22,7 @@
 //! have run, and is retried only if its route is idempotent.
 
 mod attempt;
+mod crashes;
 mod dialect;
 mod entry;
 mod events;
--- a/crates/ebonylug-direct/src/pool.rs
+++ b/crates/ebonylug-direct/src/pool.rs
@@ -107,6 +107,15 @@
                 idle_time: DEFAULT_IDLE_TIME,
             });
         }
+        self.open(target, address).await
+    }
+
+    /// Opens a new connection.
+    pub(crate) async fn open(
+        &self,
+        target: TargetKey,
+        address: SocketAddr,
+    ) -> Result<PooledConnection> {
         let connection = connect(address).await.map_err(Error::Connect)?;
         Ok(PooledConnection {
             target,
--- a/crates/ebonylug-direct/tests/quarantine.rs
+++ b/crates/ebonylug-direct/tests/quarantine.rs
@@ -4,6 +4,7 @@
 
 use common::{
     Harness, ScriptedTarget, Step, get, read_message, run, status, success, unreachable_target,
+    wait_until,
 };
 use ebonylug_core::Name;
 use ebonylug_dispatch::Target;
@@ -55,6 +56,28 @@
     });
 }
 
+/// Guards against a crash that is recorded seconds after it, when the next request finds the target down or
+/// the platform removes it.
+#[test]
+fn a_crash_is_recorded_without_another_request() {
+    run(async {
+        let harness = Harness::start(&[]).await;
+        let mut targets = Vec::new();
+        for name in ["engine-1", "engine-2", "engine-3"] {
+            targets.push(crashing_target(name).await);
+        }
+        harness.entry.set_targets(targets);
+        for id in ["r1", "r2", "r3"] {
+            let harmful = prompt(id, &format!("shared:60,harmful:900,{id}:40"));
+            assert_eq!(status(&harness.call(&harmful).await), 502);
+        }
+        wait_until("the part is quarantined", || {
+            !harness.entry.overview().quarantined.is_empty()
+        })
+        .await;
+    });
+}
+
 /// Guards against different requests with a common prompt part that crash one target after another.
 #[test]
 fn a_prompt_part_that_crashes_targets_is_quarantined() {
--- a/crates/ebonylug-dispatch/src/crashes.rs
+++ b/crates/ebonylug-dispatch/src/crashes.rs
@@ -101,6 +101,14 @@
         self.correlate(now, run)
     }
 
+    /// Reports whether broken requests at a target wait for the signal that it is down.
+    #[must_use]
+    pub fn awaits_down(&self, target: &Name, started_ms: u64) -> bool {
+        let run = TargetRun(stable_hash(target.as_str()), started_ms);
+        let signals = self.signals.get(&run);
+        signals.is_some_and(|signals| !signals.broken.is_empty())
+    }
+
     /// Records that a target that started at `started_ms` refuses connections or has restarted. Returns
     /// whether this turns broken requests into a crash.
     pub fn record_down(&mut self, now: Instant, target: &Name, started_ms: u64) -> bool {
