Refuse a queued request if it is quarantined before it is sent

A request was checked against the quarantine when it arrived and before a retry, but not after it had waited for a slot. One that waited while its third crash was recorded was sent to the next free target.

It is now checked again when it gets a slot, also before a stream is resumed. The refusal is true: the request was not sent, or, if an earlier attempt may have run, it gets 502.

a_queued_request_is_not_sent_once_it_is_quarantined failed before (504, the third request reached the target) and passes.

--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -388,6 +388,13 @@
                 Err(_) => return Err(bad_gateway()),
             };
             self.queue_time = self.request.arrived.elapsed();
+            // Crashes may have been recorded while the request waited.
+            if self.is_quarantined() {
+                return Err(match self.ran {
+                    0 => refuse(Reason::Quarantined, QUARANTINE_RETRY_AFTER),
+                    _ => bad_gateway(),
+                });
+            }
             self.tried.push(slot.target());
             if let Some(quota) = &self.quota {
                 // The request is charged even if the target reports that it did not run it. The
@@ -514,10 +521,14 @@
     pub(crate) fn take_retry(&self) -> bool {
         self.sent < self.request.route.max_attempts
             && self.has_time()
-            && !self.entry.is_quarantined(&self.request.causes)
+            && !self.is_quarantined()
             && self.entry.take_retry(&self.service)
     }
 
+    fn is_quarantined(&self) -> bool {
+        self.entry.is_quarantined(&self.request.causes)
+    }
+
     fn has_time(&self) -> bool {
         Instant::now() + MIN_TIME_LEFT < self.request.deadline
     }
@@ -549,6 +560,9 @@
                 .acquire_slot(self.resume_placement())
                 .await
                 .ok()?;
+            if self.is_quarantined() {
+                return None;
+            }
             self.tried.push(slot.target());
             let failure = match attempt::open(&self.entry, &self.request, slot, last_id).await {
                 Ok(opened) if opened.head.status.is_success() => {
--- a/crates/ebonylug-direct/tests/quarantine.rs
+++ b/crates/ebonylug-direct/tests/quarantine.rs
@@ -6,9 +6,13 @@
     Harness, ScriptedTarget, Step, get, read_message, run, status, success, unreachable_target,
     wait_until,
 };
+use std::rc::Rc;
+
 use ebonylug_core::Name;
 use ebonylug_dispatch::Target;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 
 /// Starts a target that reads one request, then closes the connection and its listener.
 async fn crashing_target(name: &str) -> Target {
@@ -25,6 +29,27 @@
     }
 }
 
+/// Starts a target that reads two requests, and crashes when it is notified. It accepts no third request.
+async fn held_target(name: &str, crash: Rc<Notify>) -> Target {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("local address");
+    tokio::task::spawn_local(async move {
+        let mut streams = Vec::new();
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().await.expect("accept a connection");
+            read_message(&mut stream).await;
+            streams.push(stream);
+        }
+        crash.notified().await;
+    });
+    Target {
+        name: Name::new(name),
+        address,
+        slots: 0,
+        ..unreachable_target()
+    }
+}
+
 /// Returns a request with a path of its own whose prompt has these parts.
 fn prompt(id: &str, parts: &str) -> String {
     get("once", id)
@@ -106,3 +131,63 @@
         assert_eq!(healthy.request_count(), 1);
     });
 }
+
+/// Guards against a harmful request that waits for a slot while its prompt part is quarantined and is then
+/// sent to the next free target.
+#[test]
+fn a_queued_request_is_not_sent_once_it_is_quarantined() {
+    run(async {
+        let harness = Rc::new(Harness::start(&[]).await);
+        let harmful = |id: &str| prompt(id, &format!("shared:60,harmful:900,{id}:40"));
+        for (target, id) in [("engine-1", "r1"), ("engine-2", "r2")] {
+            harness
+                .entry
+                .set_targets(vec![crashing_target(target).await]);
+            assert_eq!(status(&harness.call(&harmful(id)).await), 502);
+        }
+        // Two requests occupy the target that will crash, and two the other one.
+        let crash = Rc::new(Notify::new());
+        let held = held_target("engine-3", Rc::clone(&crash)).await;
+        harness.entry.set_targets(vec![held]);
+        let mut callers = Vec::new();
+        for request in [harmful("r3"), get("once", "r4")] {
+            let mut stream = harness.connect().await;
+            let sent = stream.write_all(request.as_bytes()).await;
+            sent.expect("send the request");
+            callers.push(stream);
+        }
+        wait_until("the target is full", || {
+            harness.entry.overview().active == 2
+        })
+        .await;
+        let busy = ScriptedTarget::start("engine-4", vec![Step::Hang(String::new())]).await;
+        harness.entry.put_target(Target {
+            slots: 0,
+            ..busy.target()
+        });
+        for id in ["r5", "r6"] {
+            let mut stream = harness.connect().await;
+            let sent = stream.write_all(get("once", id).as_bytes()).await;
+            sent.expect("send the request");
+            callers.push(stream);
+        }
+        wait_until("both targets are full", || busy.request_count() == 2).await;
+        let queued = tokio::task::spawn_local({
+            let harness = Rc::clone(&harness);
+            let request = harmful("r7");
+            async move { harness.call(&request).await }
+        });
+        wait_until("a request waits", || harness.entry.overview().waiting == 1).await;
+        crash.notify_one();
+        wait_until("the part is quarantined", || {
+            !harness.entry.overview().quarantined.is_empty()
+        })
+        .await;
+        // The caller leaves, which frees a slot of the busy target.
+        callers.pop();
+        let response = queued.await.expect("the queued request ends");
+        assert_eq!(status(&response), 503, "{response}");
+        assert!(response.contains("quarantined"), "{response}");
+        assert_eq!(busy.request_count(), 2);
+    });
+}
