Treat a stream without length or chunks that ends before an event as broken

Such a stream whose target crashes before the first event looked complete: the caller got a 200 without events. A completed run also clears its content and prompt parts of suspicion, so a harmful part would have been cleared by its own crash.

Such a stream is now broken unless an event arrived, and a response whose end cannot be told from a closed connection clears nothing. An end within an event was a broken stream before; the test covers it for this form.

a_stream_without_length_or_chunks_is_complete_only_after_an_event failed before (200, complete, no event) and passes.

--- a/crates/ebonylug-direct/src/attempt.rs
+++ b/crates/ebonylug-direct/src/attempt.rs
@@ -159,7 +159,19 @@
     }
 }
 
+/// Reports whether the end of a body can be told from a closed connection: its head announces a length or
+/// chunks.
+pub(crate) fn is_framed(head: &Parts) -> bool {
+    let headers = &head.headers;
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 impl OpenResponse {
+    /// Reports whether the end of the body can be told from a closed connection.
+    pub(crate) fn is_framed(&self) -> bool {
+        is_framed(&self.head)
+    }
+
     /// Reads the whole body of a response that is not a stream.
     pub(crate) async fn read_body(
         self,
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -202,7 +202,9 @@
     match result? {
         TargetResponse::Complete(head, body) => {
             let failed = head.status.is_server_error();
-            entry.record_completed(&job.request.causes);
+            if attempt::is_framed(&head) {
+                entry.record_completed(&job.request.causes);
+            }
             let outcome = if failed { "failed_by_target" } else { "served" };
             let time = job.request.arrived.elapsed();
             entry
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -88,8 +88,13 @@
                 return Part::Late;
             };
             let bytes = match frame {
-                None if self.splitter.is_empty() => return Part::End,
-                None => return Part::Broken("the response ends within an event".into()),
+                None if !self.splitter.is_empty() => {
+                    return Part::Broken("the response ends within an event".into());
+                }
+                None if self.count == 0 && !opened.is_framed() => {
+                    return Part::Broken("the response ends before its first event".into());
+                }
+                None => return Part::End,
                 Some(Err(error)) => return Part::Broken(error.to_string().into()),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(bytes) => bytes,
@@ -266,7 +271,9 @@
     fn finish(&mut self, opened: OpenResponse) {
         self.log_served(&opened);
         self.job.mark_finished();
-        self.job.entry.record_completed(&self.job.request.causes);
+        if opened.is_framed() {
+            self.job.entry.record_completed(&self.job.request.causes);
+        }
         let kind = Some(self.job.request.route.kind);
         let time = self.job.request.arrived.elapsed();
         self.job
--- a/crates/ebonylug-direct/tests/streams.rs
+++ b/crates/ebonylug-direct/tests/streams.rs
@@ -109,6 +109,30 @@
     });
 }
 
+/// Guards against a stream that ends with its connection and looks complete although its target crashed
+/// before the first event or within one.
+#[test]
+fn a_stream_without_length_or_chunks_is_complete_only_after_an_event() {
+    let head = stream_head("r1").replace("transfer-encoding: chunked\r\n", "");
+    for (name, body, complete) in [
+        ("no event", String::new(), false),
+        ("end within an event", events(1..=2) + "id: 3\nda", false),
+        ("end after an event", events(1..=2), true),
+    ] {
+        run(async {
+            let step = Step::Close(head.clone() + &body);
+            let target = ScriptedTarget::start("engine-1", vec![step]).await;
+            let harness = Harness::start(&[&target]).await;
+            let response = harness.call(&get("plainstream", "r1")).await;
+            assert_eq!(
+                response.ends_with("0\r\n\r\n"),
+                complete,
+                "{name}: {response}"
+            );
+        });
+    }
+}
+
 /// Guards against a target that continues to generate events after the caller has disconnected.
 #[test]
 fn a_stream_is_cancelled_when_the_caller_disconnects() {
