Send the whole crash log to an entry that has just started

An entry that starts after the crashes knew of them only when the log was repeated, up to eight seconds later, and sent harmful requests until then.

Messages have one more content, Everything, for entries that have just joined and for the periodic repetition.

an_entry_that_joins_gets_the_crash_log failed before (not quarantined in 20 s at the second entry) and passes.

--- a/crates/ebonylug-direct/src/exchange.rs
+++ b/crates/ebonylug-direct/src/exchange.rs
@@ -17,13 +17,11 @@
     }
 
     /// Creates the next message to the other entries. [`Content::Quotas`] has the usage that changed within
-    /// `span`, [`Content::Paces`] all usage. Messages with usage have the recent changes of the crash log, or
-    /// all of it if `crashes` is set.
-    pub(crate) fn next_gossip(&self, content: Content, span: Duration, crashes: bool) -> Gossip {
+    /// `span`, [`Content::Paces`] all usage.
+    pub(crate) fn next_gossip(&self, content: Content, span: Duration) -> Gossip {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         state.sequence += 1;
-        let (quotas, paces) = (content >= Content::Quotas, content >= Content::Paces);
         let loads = state.scheduler.local_loads().collect();
         let (moves, evidence) = state.moves.status(self.uptime.uptime());
         Gossip {
@@ -42,19 +40,19 @@
             usage: match content {
                 Content::Loads => Vec::new(),
                 Content::Quotas => state.quotas.usage(now.checked_sub(span)).collect(),
-                Content::Paces => state.quotas.usage(None).collect(),
+                Content::Paces | Content::Everything => state.quotas.usage(None).collect(),
             },
             loads,
-            paces: match paces {
-                true => state.scheduler.local_paces(now).collect(),
-                false => Vec::new(),
+            paces: match content {
+                Content::Loads | Content::Quotas => Vec::new(),
+                Content::Paces | Content::Everything => state.scheduler.local_paces(now).collect(),
             },
             moves,
             evidence,
-            crashes: match (quotas, crashes) {
-                (false, _) => CrashLog::new(),
-                (true, false) => state.crashes.recent_changes(now),
-                (true, true) => state.crashes.log().clone(),
+            crashes: match content {
+                Content::Loads => CrashLog::new(),
+                Content::Quotas | Content::Paces => state.crashes.recent_changes(now),
+                Content::Everything => state.crashes.log().clone(),
             },
         }
     }
--- a/crates/ebonylug-direct/src/peers.rs
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -49,10 +49,22 @@
 pub(crate) enum Content {
     /// The loads of targets.
     Loads,
-    /// The usage of quotas, and in some messages the crash log.
+    /// The usage of quotas, and recent changes of the crash log.
     Quotas,
     /// The paces of targets.
     Paces,
+    /// The whole crash log. For entries that have just started, and repeated in case messages were lost.
+    Everything,
+}
+
+impl Content {
+    /// All variants, in order.
+    const ALL: [Content; 4] = [
+        Content::Loads,
+        Content::Quotas,
+        Content::Paces,
+        Content::Everything,
+    ];
 }
 
 /// Another entry.
@@ -112,7 +124,7 @@
     /// Announces this entry at addresses where other entries may listen, until one of them answers.
     pub async fn announce(&self, addresses: &[SocketAddr]) {
         while self.entry.reachable_entries() == 1 {
-            let mut gossip = self.entry.next_gossip(Content::Paces, Duration::ZERO, true);
+            let mut gossip = self.entry.next_gossip(Content::Everything, Duration::ZERO);
             gossip.interval = u32::try_from(ANNOUNCE_INTERVAL.as_millis()).unwrap_or(u32::MAX);
             self.send_to(&gossip, addresses).await;
             tokio::time::sleep(ANNOUNCE_INTERVAL).await;
@@ -193,15 +205,14 @@
         let due = self.due(all);
         let entries = self.peers.borrow().len();
         let longest = interval(CROSS_ZONE_INTERVAL, entries).max(IDLE_INTERVAL) + MIN_INTERVAL;
-        let crashes = all || self.entry.sends_crash_log();
-        for content in [Content::Loads, Content::Quotas, Content::Paces] {
+        for content in Content::ALL {
             let due = due.iter().filter(|(_, due)| *due == content);
             let addresses: SmallVec<[SocketAddr; 8]> = due.map(|(address, _)| *address).collect();
             if addresses.is_empty() {
                 continue;
             }
             // The message before this one may be lost.
-            let mut gossip = self.entry.next_gossip(content, longest * 2, crashes);
+            let mut gossip = self.entry.next_gossip(content, longest * 2);
             gossip.interval = u32::try_from(longest.as_millis()).unwrap_or(u32::MAX);
             self.send_to(&gossip, &addresses).await;
         }
@@ -211,6 +222,7 @@
     fn due(&self, all: bool) -> SmallVec<[(SocketAddr, Content); 8]> {
         let now = Instant::now();
         let load_version = self.entry.load_version();
+        let repeats_log = self.entry.sends_crash_log();
         let mut due = SmallVec::new();
         let mut peers = self.peers.borrow_mut();
         let same_zone = peers.values().filter(|peer| peer.same_zone).count();
@@ -233,16 +245,17 @@
             }
             peer.last_sent = now;
             peer.load_version = load_version;
-            let content = if all
-                || pending == Some(Content::Paces)
-                || now.duration_since(peer.paces_sent) >= paces_interval.max(idle)
-            {
-                Content::Paces
-            } else if now.duration_since(peer.quotas_sent) >= idle {
-                Content::Quotas
-            } else {
-                Content::Loads
-            };
+            let quotas_due = now.duration_since(peer.quotas_sent) >= idle;
+            let content =
+                if all || pending == Some(Content::Everything) || (quotas_due && repeats_log) {
+                    Content::Everything
+                } else if now.duration_since(peer.paces_sent) >= paces_interval.max(idle) {
+                    Content::Paces
+                } else if quotas_due {
+                    Content::Quotas
+                } else {
+                    Content::Loads
+                };
             if content >= Content::Paces {
                 peer.paces_sent = now;
             }
@@ -314,8 +327,8 @@
         peer.same_zone = same_zone;
         if joined {
             tracing::info!(part = "peers", peer = %name, address = %from, "entry joined");
-            // An entry that has just started lacks the load and the quota usage of the others.
-            peer.pending = Some(Content::Paces);
+            // An entry that has just started lacks what the others know.
+            peer.pending = Some(Content::Everything);
         }
     }
 }
@@ -330,7 +343,7 @@
             last_sent: now,
             quotas_sent: now,
             paces_sent: now,
-            pending: Some(Content::Paces),
+            pending: Some(Content::Everything),
         }
     }
 }
--- a/crates/ebonylug-direct/tests/common/mod.rs
+++ b/crates/ebonylug-direct/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ebonylug_core::{Name, SystemClock};
+use ebonylug_core::{Clock, Name, SystemClock};
 use ebonylug_direct::{Bounds, Dialect, Entry, ResponseLimits, Settings, Uptime, server};
 use ebonylug_dispatch::{
     Config, Limits, Organisation, Quota, QuotaTolerance, RawConfig, RetryRule, Route, RouteKind,
@@ -334,6 +334,11 @@
 
     /// Starts an entry with this name, without a configuration or targets.
     pub async fn with_name(name: &str) -> Self {
+        Self::with_clock(name, Arc::new(SystemClock)).await
+    }
+
+    /// Starts an entry with this name and clock, without a configuration or targets.
+    pub async fn with_clock(name: &str, clock: Arc<dyn Clock>) -> Self {
         let uptime = TestUptime::default();
         uptime.0.set(Duration::from_secs(100));
         let settings = Settings {
@@ -354,7 +359,6 @@
             },
         };
         let bounds = settings.bounds;
-        let clock = Arc::new(SystemClock);
         let entry = Entry::new(settings, dialect(), clock, Box::new(uptime.clone()), 1);
         let listener = server::listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
         let address = listener.local_addr().expect("local address");
--- a/crates/ebonylug-direct/tests/quarantine.rs
+++ b/crates/ebonylug-direct/tests/quarantine.rs
@@ -3,12 +3,15 @@
 mod common;
 
 use common::{
-    Harness, ScriptedTarget, Step, get, read_message, run, status, success, unreachable_target,
-    wait_until,
+    Harness, ScriptedTarget, Step, config, get, read_message, run, status, success,
+    unreachable_target, wait_until,
 };
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 
-use ebonylug_core::Name;
+use ebonylug_core::{ManualClock, Name};
+use ebonylug_direct::peers::Exchange;
 use ebonylug_dispatch::Target;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -191,3 +194,48 @@
         assert_eq!(busy.request_count(), 2);
     });
 }
+
+/// Guards against an entry that starts after the crashes and sends harmful requests until the crash log is
+/// repeated, seconds later.
+#[test]
+fn an_entry_that_joins_gets_the_crash_log() {
+    run(async {
+        let clock = Arc::new(ManualClock::new());
+        let first = Harness::with_clock("entry-1", clock.clone()).await;
+        first.entry.apply_config(config(1, None));
+        first.entry.confirm_config(Duration::from_secs(100));
+        clock.advance(Duration::from_secs(1));
+        for id in ["r1", "r2", "r3"] {
+            first.entry.set_targets(vec![crashing_target(id).await]);
+            let harmful = prompt(id, &format!("shared:60,harmful:900,{id}:40"));
+            assert_eq!(status(&first.call(&harmful).await), 502);
+        }
+        wait_until("the part is quarantined", || {
+            !first.entry.overview().quarantined.is_empty()
+        })
+        .await;
+        // Neither the changes nor the whole log are repeated now.
+        clock.advance(Duration::from_secs(3));
+        let second = Harness::with_clock("entry-2", clock).await;
+        let local = "127.0.0.1:0".parse().expect("an address");
+        let mut exchanges = Vec::new();
+        for harness in [&first, &second] {
+            let exchange = Exchange::bind(Rc::clone(&harness.entry), local).await;
+            let exchange = exchange.expect("a free port");
+            tokio::task::spawn_local(Rc::clone(&exchange).run_receiver());
+            exchanges.push(exchange);
+        }
+        let address = exchanges[0].address().expect("local address");
+        exchanges[1].add_peer(Name::new("entry-1"), address);
+        exchanges[1].send_due(true).await;
+        wait_until("the new entry is known", || {
+            first.entry.reachable_entries() == 2
+        })
+        .await;
+        exchanges[0].send_due(false).await;
+        wait_until("the new entry quarantines the part", || {
+            !second.entry.overview().quarantined.is_empty()
+        })
+        .await;
+    });
+}
