Log the limit that a target names in its responses

Entries now read it (Dialect::rate_limit) and keep the latest one for each target; the lines 'target names a limit' and 'target names no limit any more' tell of changes. Nothing is decided by it yet.

What entries tell each other about loads moves from scheduler.rs to a module of its own, unchanged.

--- a/crates/ebonylug-direct/src/attempt.rs
+++ b/crates/ebonylug-direct/src/attempt.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ebonylug_dispatch::Outcome;
+use ebonylug_dispatch::{Outcome, TargetKey};
 use http::response::Parts;
 use http::{HeaderValue, StatusCode, header};
 use http_body_util::BodyExt;
@@ -117,6 +117,7 @@
             "the response belongs to another request".into(),
         ));
     }
+    record_limit(entry, target, &head);
     let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
     if misdirected || head.headers.contains_key(&dialect.not_run) {
         slot.set_outcome(if misdirected {
@@ -145,6 +146,24 @@
     })
 }
 
+/// Records the limit that a response names. Only a signed response without a limit withdraws it.
+fn record_limit(entry: &Entry, target: TargetKey, head: &Parts) {
+    let dialect = &entry.dialect;
+    match head.headers.get(&dialect.rate_limit) {
+        Some(value) => match parse_rate(value) {
+            Some(rate) => entry.record_limit(target, Some(rate)),
+            None => tracing::debug!(part = "targets", ?value, "limit is no number"),
+        },
+        None if head.headers.contains_key(&dialect.signature) => entry.record_limit(target, None),
+        None => {}
+    }
+}
+
+fn parse_rate(value: &HeaderValue) -> Option<f64> {
+    let rate: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    (rate.is_finite() && rate >= 0.0).then_some(rate)
+}
+
 /// Reads the rest of a short response, so that its connection can be reused. If that takes
 /// too long, the connection is closed.
 async fn drain(entry: &Entry, body: Incoming, connection: PooledConnection) {
--- a/crates/ebonylug-direct/src/dialect.rs
+++ b/crates/ebonylug-direct/src/dialect.rs
@@ -24,6 +24,9 @@
     pub not_run: HeaderName,
     /// In responses of targets: how long the target stays cold, in milliseconds.
     pub cold_time: HeaderName,
+    /// In responses of targets: the requests per second that the target accepts from all entries together,
+    /// as a decimal number. A response without it states that there is no limit.
+    pub rate_limit: HeaderName,
     /// Headers that only the system may set; those sent by callers are dropped.
     pub reserved: Vec<HeaderName>,
     /// The path of the load balancer's health check.
--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -476,6 +476,23 @@
         state.scheduler.mark_cold(now, target, time);
     }
 
+    /// Records the requests per second that a target accepts from all entries together, or that it names no
+    /// limit.
+    pub(crate) fn record_limit(&self, target: TargetKey, rate: Option<f64>) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        if !state.scheduler.record_limit(now, target, rate) {
+            return;
+        }
+        if let Some(info) = state.scheduler.target(target) {
+            let message = match rate {
+                Some(_) => "target names a limit",
+                None => "target names no limit any more",
+            };
+            tracing::info!(part = "targets", target = %info.name, service = %info.service, rate, "{message}");
+        }
+    }
+
     /// Performs periodic work: expires entries, crash records and idle connections, and dispatches
     /// waiting requests.
     pub fn tick(self: &Rc<Self>) {
--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -31,6 +31,7 @@
 mod gossip;
 mod hash;
 mod health;
+mod named_limit;
 mod overview;
 mod owners;
 mod pacing;
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -1,4 +1,6 @@
-use std::collections::{BTreeMap, HashMap, HashSet};
+mod loads;
+
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use ebonylug_core::Name;
@@ -7,10 +9,9 @@
 
 use crate::choice::{Candidate, MAX_RELATIVE_PACE, MIN_RELATIVE_PACE, draw_weighted, score};
 use crate::cold::ColdRate;
-use crate::gossip::{PACE_UNIT_SECONDS, TargetLoad, TargetPace};
-use crate::hash::{mix, short_hash, stable_hash, unit_interval};
+use crate::hash::{mix, stable_hash, unit_interval};
 use crate::health::{Health, HealthChange, Outcome};
-use crate::overview::TargetOverview;
+use crate::named_limit::NamedLimit;
 use crate::owners::Owners;
 use crate::pacing::{Pacer, ServiceLoad};
 use crate::prompt_cache::PromptLocations;
@@ -154,6 +155,7 @@
                 if record.info.started_ms != info.started_ms || record.info.address != info.address
                 {
                     record.health = Health::default();
+                    record.limit = NamedLimit::default();
                     record.pace = None;
                 }
                 record.info = info;
@@ -173,6 +175,7 @@
                     peers: PeerLoad::default(),
                     health: Health::default(),
                     cold: None,
+                    limit: NamedLimit::default(),
                     pace: None,
                     pace_measured: None,
                 });
@@ -233,64 +236,6 @@
         }
     }
 
-    /// Sets the load that peers report for each target, by short hash of its name.
-    pub fn set_peer_loads(&mut self, loads: &HashMap<u32, PeerLoad>) {
-        for record in self.targets.values_mut() {
-            record.peers = loads
-                .get(&short_hash(record.hash))
-                .copied()
-                .unwrap_or_default();
-        }
-    }
-
-    /// Returns the load that this entry puts on targets.
-    pub fn local_loads(&self) -> impl Iterator<Item = TargetLoad> {
-        self.targets.values().filter_map(|record| {
-            let unhealthy = record.health.is_unhealthy();
-            (record.requests > 0 || unhealthy).then(|| TargetLoad {
-                unhealthy,
-                target: short_hash(record.hash),
-                requests: u16::try_from(record.requests).unwrap_or(u16::MAX),
-                prefill: record.prefill,
-            })
-        })
-    }
-
-    /// Returns the recent paces of targets that this entry measured itself.
-    pub fn local_paces(&self, now: Instant) -> impl Iterator<Item = TargetPace> {
-        self.targets.values().filter_map(move |record| {
-            let pace = record.recent_pace(now)?;
-            Some(TargetPace {
-                target: short_hash(record.hash),
-                pace: (pace / PACE_UNIT_SECONDS).clamp(1.0, f64::from(u16::MAX)) as u16,
-            })
-        })
-    }
-
-    /// Returns the total slots of each service and the requests of all entries in flight there.
-    #[must_use]
-    pub fn service_loads(&self) -> BTreeMap<Name, (u32, u32)> {
-        let mut services: BTreeMap<Name, (u32, u32)> = BTreeMap::new();
-        for record in self.targets.values() {
-            let (slots, requests) = services.entry(record.info.service.clone()).or_default();
-            *slots += record.info.slots;
-            *requests += record.load();
-        }
-        services
-    }
-
-    /// Returns the view of all targets that is shown to operators, ordered by service and name.
-    #[must_use]
-    pub fn overview(&self, now: Instant) -> Vec<TargetOverview> {
-        let mut targets: Vec<TargetOverview> = self
-            .targets
-            .values()
-            .map(|record| record.overview(now, self.drained.contains(&record.info.zone)))
-            .collect();
-        targets.sort();
-        targets
-    }
-
     /// Selects a target for a request, or queues or refuses the request.
     pub fn place(&mut self, now: Instant, request: PlacementRequest) -> Placement {
         if !self.has_target(&request) {
--- /dev/null
+++ b/crates/ebonylug-dispatch/src/scheduler/loads.rs
@@ -0,0 +1,79 @@
+//! What entries tell each other and operators about the loads and limits of targets.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Instant;
+
+use ebonylug_core::Name;
+
+use super::Scheduler;
+use crate::gossip::{PACE_UNIT_SECONDS, TargetLoad, TargetPace};
+use crate::hash::short_hash;
+use crate::overview::TargetOverview;
+use crate::target::{PeerLoad, TargetKey};
+
+impl Scheduler {
+    /// Records the limit on requests per second that a response of a target names, or that it names none.
+    /// Returns whether this is a change.
+    pub fn record_limit(&mut self, now: Instant, key: TargetKey, rate: Option<f64>) -> bool {
+        let record = self.targets.get_mut(key);
+        record.is_some_and(|record| record.limit.observe(now, rate))
+    }
+
+    /// Sets the load that peers report for each target, by short hash of its name.
+    pub fn set_peer_loads(&mut self, loads: &HashMap<u32, PeerLoad>) {
+        for record in self.targets.values_mut() {
+            record.peers = loads
+                .get(&short_hash(record.hash))
+                .copied()
+                .unwrap_or_default();
+        }
+    }
+
+    /// Returns the load that this entry puts on targets.
+    pub fn local_loads(&self) -> impl Iterator<Item = TargetLoad> {
+        self.targets.values().filter_map(|record| {
+            let unhealthy = record.health.is_unhealthy();
+            (record.requests > 0 || unhealthy).then(|| TargetLoad {
+                unhealthy,
+                target: short_hash(record.hash),
+                requests: u16::try_from(record.requests).unwrap_or(u16::MAX),
+                prefill: record.prefill,
+            })
+        })
+    }
+
+    /// Returns the recent paces of targets that this entry measured itself.
+    pub fn local_paces(&self, now: Instant) -> impl Iterator<Item = TargetPace> {
+        self.targets.values().filter_map(move |record| {
+            let pace = record.recent_pace(now)?;
+            Some(TargetPace {
+                target: short_hash(record.hash),
+                pace: (pace / PACE_UNIT_SECONDS).clamp(1.0, f64::from(u16::MAX)) as u16,
+            })
+        })
+    }
+
+    /// Returns the total slots of each service and the requests of all entries in flight there.
+    #[must_use]
+    pub fn service_loads(&self) -> BTreeMap<Name, (u32, u32)> {
+        let mut services: BTreeMap<Name, (u32, u32)> = BTreeMap::new();
+        for record in self.targets.values() {
+            let (slots, requests) = services.entry(record.info.service.clone()).or_default();
+            *slots += record.info.slots;
+            *requests += record.load();
+        }
+        services
+    }
+
+    /// Returns the view of all targets that is shown to operators, ordered by service and name.
+    #[must_use]
+    pub fn overview(&self, now: Instant) -> Vec<TargetOverview> {
+        let mut targets: Vec<TargetOverview> = self
+            .targets
+            .values()
+            .map(|record| record.overview(now, self.drained.contains(&record.info.zone)))
+            .collect();
+        targets.sort();
+        targets
+    }
+}
--- a/crates/ebonylug-dispatch/src/target.rs
+++ b/crates/ebonylug-dispatch/src/target.rs
@@ -5,6 +5,7 @@
 
 use crate::cold::ColdRate;
 use crate::health::Health;
+use crate::named_limit::NamedLimit;
 use crate::overview::TargetOverview;
 
 slotmap::new_key_type! {
@@ -76,6 +77,8 @@
     pub(crate) peers: PeerLoad,
     pub(crate) health: Health,
     pub(crate) cold: Option<ColdRate>,
+    /// The limit on requests that the target names.
+    pub(crate) limit: NamedLimit,
     /// Mean time per unit of work, in seconds; `None` before the first sample.
     pub(crate) pace: Option<f64>,
     /// Time of the last pace sample.
--- a/crates/ebonylugctl/tests/state.rs
+++ b/crates/ebonylugctl/tests/state.rs
@@ -39,7 +39,8 @@
         last_event: name.clone(),
         signature: name.clone(),
         not_run: name.clone(),
-        cold_time: name,
+        cold_time: name.clone(),
+        rate_limit: name,
         reserved: Vec::new(),
         ready_path: "/ready".into(),
     }
