Keep the sum of all entries to the limit that a target names

Callers saw no difference; an engine in need got as many requests as before.

Cause: nothing read the header, so the arrivals did not change when the limit was named. The class: a bound that a target states about itself and that holds for the sum over all entries, but no entry knows.

Change: an entry paces its sends to such a target to an equal share of 0.8 of the limit, as it does for a cold target; both now use SharedRate. The limit lasts until a signed response names none, or the target restarts. A limit under 0.25 a second counts as that, since a target that gets nothing could never withdraw it.

In tests/named_limits.rs 1, 4, 22 and 103 entries with limits of 0.5 to 20 a second stay within one and a half times the limit plus 5 in any 4 s, and use at least half of it.

--- a/crates/ebonylug-dispatch/src/cold.rs
+++ b/crates/ebonylug-dispatch/src/cold.rs
@@ -1,35 +1,24 @@
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-/// Share of a cold target's rate that all entries use together. Requests sent within different seconds
-/// may arrive within the same one.
-const USED_SHARE: f64 = 0.8;
+use crate::shared_rate::SharedRate;
 
 /// Rate limit of one entry for one cold target.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ColdRate {
     until: Instant,
-    started: Instant,
-    /// Maximum requests per second of all entries.
-    rate: f64,
-    /// Position of this entry's first send among those of all entries, from 0 to 1.
-    phase: f64,
-    last_send: Option<Instant>,
+    rate: SharedRate,
 }
 
 impl ColdRate {
     /// Limits sends until `until` to an equal share of `rate` requests per second among the entries.
-    /// The first send is delayed by `phase` of the time between two sends, from 0 to 1, so that entries
-    /// do not start at the same time.
+    /// `phase` is that of [`SharedRate::new`].
     pub(crate) fn new(now: Instant, until: Instant, rate: f64, phase: f64) -> Option<Self> {
         if rate <= 0.0 || until <= now {
             return None;
         }
         Some(ColdRate {
             until,
-            started: now,
-            rate,
-            phase: phase.clamp(0.0, 1.0),
-            last_send: None,
+            rate: SharedRate::new(now, rate, phase),
         })
     }
 
@@ -44,15 +33,10 @@
 
     /// Reports whether this entry may send a request now, if `entries` share the rate.
     pub(crate) fn allows_send(&self, now: Instant, entries: usize) -> bool {
-        let interval = Duration::from_secs_f64(entries.max(1) as f64 / (self.rate * USED_SHARE));
-        let next_send = match self.last_send {
-            Some(time) => time + interval,
-            None => self.started + interval.mul_f64(self.phase),
-        };
-        now >= self.until || now >= next_send
+        now >= self.until || self.rate.allows_send(now, entries)
     }
 
     pub(crate) fn record_send(&mut self, now: Instant) {
-        self.last_send = Some(now);
+        self.rate.record_send(now);
     }
 }
--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -18,8 +18,8 @@
 //!
 //! # Limits across entries
 //!
-//! Quotas, the send rate to a cold target and the retry budget limit the total over all entries,
-//! including during a network partition. Each limit is split so that the shares of isolated
+//! Quotas, the send rate to a cold target, the limit that a target names and the retry budget limit the
+//! total over all entries, including during a network partition. Each limit is split so that the shares of isolated
 //! entries add up to the whole.
 
 mod budget;
@@ -43,6 +43,7 @@
 mod rollout;
 mod scheduler;
 mod settings;
+mod shared_rate;
 mod target;
 
 pub use budget::{RetryBudget, RetryRule};
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -384,6 +384,7 @@
         if let Some(cold) = &mut record.cold {
             cold.record_send(now);
         }
+        record.limit.record_send(now);
         self.random_state = mix(self.random_state, record.hash).wrapping_add(1);
     }
 
--- a/crates/ebonylug-dispatch/src/scheduler/loads.rs
+++ b/crates/ebonylug-dispatch/src/scheduler/loads.rs
@@ -7,7 +7,7 @@
 
 use super::Scheduler;
 use crate::gossip::{PACE_UNIT_SECONDS, TargetLoad, TargetPace};
-use crate::hash::short_hash;
+use crate::hash::{mix, short_hash, unit_interval};
 use crate::overview::TargetOverview;
 use crate::target::{PeerLoad, TargetKey};
 
@@ -15,8 +15,11 @@
     /// Records the limit on requests per second that a response of a target names, or that it names none.
     /// Returns whether this is a change.
     pub fn record_limit(&mut self, now: Instant, key: TargetKey, rate: Option<f64>) -> bool {
-        let record = self.targets.get_mut(key);
-        record.is_some_and(|record| record.limit.observe(now, rate))
+        let Some(record) = self.targets.get_mut(key) else {
+            return false;
+        };
+        let phase = unit_interval(mix(record.hash, self.random_state));
+        record.limit.observe(now, rate, phase)
     }
 
     /// Sets the load that peers report for each target, by short hash of its name.
--- a/crates/ebonylug-dispatch/src/target.rs
+++ b/crates/ebonylug-dispatch/src/target.rs
@@ -159,6 +159,11 @@
         let available = !self.health.is_ejected(now) && (own_evidence || self.peers.unhealthy == 0);
         let probe_allowed = !self.health.is_unhealthy() || self.requests == 0;
         let warm = self.cold.is_none_or(|cold| cold.allows_send(now, entries));
-        self.info.state == TargetState::Serving && available && probe_allowed && warm
+        let within_limit = self.limit.allows_send(now, entries);
+        self.info.state == TargetState::Serving
+            && available
+            && probe_allowed
+            && warm
+            && within_limit
     }
 }
--- /dev/null
+++ b/crates/ebonylug-dispatch/tests/named_limits.rs
@@ -0,0 +1,123 @@
+//! Limits on requests per second that targets name.
+
+use std::time::{Duration, Instant};
+
+use ebonylug_core::Name;
+use ebonylug_dispatch::{
+    Outcome, Placement, PlacementRequest, Scheduler, SchedulerSettings, Target, TargetKey,
+    TargetState, VersionFilter,
+};
+use smallvec::SmallVec;
+
+/// The window in which the users count the requests to a target with a limit.
+const WINDOW: Duration = Duration::from_secs(4);
+
+fn target(started_ms: u64) -> Target {
+    Target {
+        name: Name::new("engine"),
+        service: Name::new("pool"),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: Name::new("zone"),
+        version: "v1".into(),
+        slots: 6,
+        state: TargetState::Serving,
+        cold: Duration::ZERO,
+        started_ms,
+    }
+}
+
+/// Creates the scheduler of one of several entries, with one target.
+fn scheduler(now: Instant, seed: usize, entries: usize) -> (Scheduler, TargetKey) {
+    let seed = seed as u64 + 1;
+    let mut scheduler = Scheduler::new(SchedulerSettings::default(), Name::new("zone"), seed);
+    scheduler.set_entries(entries, Duration::ZERO);
+    let key = scheduler.put_target(now, target(1));
+    (scheduler, key)
+}
+
+/// Tries to send a request, which ends at once. Returns whether it was sent.
+fn send(scheduler: &mut Scheduler, now: Instant) -> bool {
+    let request = PlacementRequest {
+        service: Name::new("pool"),
+        rank: 0,
+        cache_key: None,
+        tried: SmallVec::new(),
+        max_wait: Duration::ZERO,
+        retry_after: Duration::from_secs(1),
+        model: true,
+        prompt: 0,
+        versions: VersionFilter::All,
+    };
+    let Placement::Send(key) = scheduler.place(now, request) else {
+        return false;
+    };
+    scheduler.finish(now, key, Outcome::Answered, None);
+    true
+}
+
+/// Returns the largest number of times within the window.
+fn most_in_window(times: &[Instant]) -> usize {
+    let in_window = |&from: &Instant| {
+        let until = from + WINDOW;
+        times.iter().filter(|&&t| t >= from && t < until).count()
+    };
+    times.iter().map(in_window).max().unwrap_or(0)
+}
+
+/// Guards against a target that gets its limit from every entry, and against one that is hardly used.
+#[test]
+fn all_entries_together_keep_the_limit_that_a_target_names() {
+    const STEP: Duration = Duration::from_millis(50);
+    const STEPS: u32 = 1_600;
+    for entries in [1, 4, 22, 103] {
+        for rate in [0.5, 1.0, 2.0, 5.0, 20.0] {
+            let start = Instant::now();
+            let mut times = Vec::new();
+            for seed in 0..entries {
+                let (mut scheduler, key) = scheduler(start, seed, entries);
+                assert!(scheduler.record_limit(start, key, Some(rate)));
+                for step in 0..STEPS {
+                    let now = start + STEP * step;
+                    if send(&mut scheduler, now) {
+                        times.push(now);
+                        scheduler.record_limit(now, key, Some(rate));
+                    }
+                }
+            }
+            times.sort_unstable();
+            let (most, total) = (most_in_window(&times), times.len() as f64);
+            let allowed = 1.5 * rate * WINDOW.as_secs_f64() + 5.0;
+            assert!(
+                most as f64 <= allowed,
+                "{most} in 4 s from {entries} entries at {rate} a second"
+            );
+            let offered = rate * (STEP * STEPS).as_secs_f64();
+            assert!(
+                total >= 0.5 * offered && total <= offered,
+                "{total} of {offered} from {entries} entries at {rate} a second"
+            );
+        }
+    }
+}
+
+/// Guards against a limit that holds after the target has withdrawn it or restarted, and against a limit of
+/// zero that is never known to have ended.
+#[test]
+fn a_limit_ends_with_its_last_response_or_a_restart() {
+    let now = Instant::now();
+    let (mut scheduler, key) = scheduler(now, 0, 4);
+    assert!(!scheduler.record_limit(now, key, None));
+    assert!(scheduler.record_limit(now, key, Some(1.0)));
+    assert!(!send(&mut scheduler, now));
+    assert!(scheduler.record_limit(now, key, None));
+    assert!((0..20).all(|_| send(&mut scheduler, now)));
+
+    assert!(scheduler.record_limit(now, key, Some(0.0)));
+    assert!(!send(&mut scheduler, now));
+    let later = now + Duration::from_secs(30);
+    assert!(send(&mut scheduler, later));
+    assert!(!send(&mut scheduler, later));
+
+    scheduler.put_target(later, target(2));
+    assert!((0..20).all(|_| send(&mut scheduler, later)));
+}
