Tell the other entries of the limit that a target names, and of its end

An entry knew of a limit only from its own responses.

Messages now have the limits that the sender has read itself, with their age; the newer one counts. A withdrawn limit is told for ten seconds.

an_entry_learns_of_a_limit_and_of_its_end_from_another does not compile before, since there is no way to tell of a limit.

--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -481,15 +481,8 @@
     pub(crate) fn record_limit(&self, target: TargetKey, rate: Option<f64>) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        if !state.scheduler.record_limit(now, target, rate) {
-            return;
-        }
-        if let Some(info) = state.scheduler.target(target) {
-            let message = match rate {
-                Some(_) => "target names a limit",
-                None => "target names no limit any more",
-            };
-            tracing::info!(part = "targets", target = %info.name, service = %info.service, rate, "{message}");
+        if state.scheduler.record_limit(now, target, rate) {
+            state.log_limit(target, None);
         }
     }
 
--- a/crates/ebonylug-direct/src/exchange.rs
+++ b/crates/ebonylug-direct/src/exchange.rs
@@ -47,6 +47,10 @@
                 Content::Loads | Content::Quotas => Vec::new(),
                 Content::Paces | Content::Everything => state.scheduler.local_paces(now).collect(),
             },
+            limits: match content {
+                Content::Loads => Vec::new(),
+                _ => state.scheduler.local_limits(now).collect(),
+            },
             moves,
             evidence,
             crashes: match content {
@@ -65,6 +69,9 @@
         if state.crashes.merge(&gossip.crashes) {
             tracing::info!(part = "crashes", peer = %gossip.entry, "crash records received");
         }
+        for target in state.scheduler.merge_limits(now, &gossip.limits) {
+            state.log_limit(target, Some(&*gossip.entry));
+        }
         let age = Duration::from_millis(u64::from(gossip.age));
         state.quotas.adopt_levels(now, age, &gossip.usage);
         let Some(update) = state.peers.receive(now, self.uptime.uptime(), gossip) else {
--- a/crates/ebonylug-direct/src/state.rs
+++ b/crates/ebonylug-direct/src/state.rs
@@ -5,7 +5,7 @@
 use ebonylug_core::Name;
 use ebonylug_dispatch::{
     Config, CrashDetector, Freshness, Peers, PlacementRequest, Quotas, RetryBudget, Scheduler,
-    Target, TargetState, VersionFilter, WaitKey,
+    Target, TargetKey, TargetState, VersionFilter, WaitKey,
 };
 use rand_chacha::ChaCha8Rng;
 
@@ -124,6 +124,19 @@
         tracing::info!(part = "crashes", target = %target.name, crashes, quarantined, "target crashed under requests");
     }
 
+    /// Logs that the limit of a target has changed, and which other entry told of it.
+    pub(crate) fn log_limit(&self, key: TargetKey, peer: Option<&str>) {
+        let Some(target) = self.scheduler.target(key) else {
+            return;
+        };
+        let rate = self.scheduler.named_limit(key);
+        let message = match rate {
+            Some(_) => "target names a limit",
+            None => "target names no limit any more",
+        };
+        tracing::info!(part = "targets", target = %target.name, service = %target.service, rate, peer, "{message}");
+    }
+
     /// Sets the versions that may serve a request. If no target of the chosen version can, all other
     /// versions may.
     pub(crate) fn with_versions(&mut self, mut request: PlacementRequest) -> PlacementRequest {
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -52,6 +52,18 @@
     pub pace: u16,
 }
 
+/// What a response of a target said about its limit on requests.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetLimit {
+    /// The short hash of the target's name.
+    pub target: u32,
+    /// The requests per second that the target accepts from all entries together. `None` if it has
+    /// withdrawn its limit.
+    pub rate: Option<f32>,
+    /// Time since the response arrived, in milliseconds.
+    pub age: u32,
+}
+
 /// The state that an entry sends to its peers several times per second. Messages carry totals, so a
 /// lost message is harmless.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -87,6 +99,8 @@
     /// Recently measured paces. Omitted from most messages, since they change slowly and there is one
     /// per target.
     pub paces: Vec<TargetPace>,
+    /// Limits of targets that the entry has read from responses. Omitted from most messages.
+    pub limits: Vec<TargetLimit>,
     /// The active moves.
     pub moves: Vec<RolloutStatus>,
     /// The entry's own recent evidence about versions in a move.
--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -50,7 +50,9 @@
 pub use config::{Config, Limits, Organisation, Quota, RawConfig, Route, RouteKind, Service};
 pub use crashes::{CrashDetector, RequestCauses};
 pub use freshness::Freshness;
-pub use gossip::{Gossip, PeerChange, Peers, RolloutStatus, TargetLoad, TargetPace, Usage};
+pub use gossip::{
+    Gossip, PeerChange, Peers, RolloutStatus, TargetLimit, TargetLoad, TargetPace, Usage,
+};
 pub use hash::stable_hash;
 pub use health::{HealthChange, Outcome};
 pub use overview::{Overview, TargetOverview};
--- a/crates/ebonylug-dispatch/src/named_limit.rs
+++ b/crates/ebonylug-dispatch/src/named_limit.rs
@@ -1,17 +1,33 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use crate::gossip::TargetLimit;
 use crate::shared_rate::SharedRate;
 
 /// Minimum rate of requests of all entries to a target, in requests per second. Without any, a limit of
 /// zero would never be known to have ended.
 const MIN_RATE: f64 = 0.25;
+/// Time for which an entry tells the others that a target has withdrawn its limit.
+const WITHDRAWAL_PERIOD: Duration = Duration::from_secs(10);
+
+/// What one response says about the limit of its target.
+#[derive(Clone, Copy, Debug)]
+struct Observation {
+    /// When the response arrived at the entry that received it.
+    time: Instant,
+    /// The limit in requests per second, if the response names one.
+    rate: Option<f64>,
+    /// Whether this entry received the response. If not, another entry has told of it.
+    own: bool,
+}
 
 /// The limit on requests per second that a target names in its responses. It applies to the sum over all
 /// entries, for as long as the responses name it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct NamedLimit {
-    /// The time of the latest response, and the limit that it names, in requests per second.
-    latest: Option<(Instant, Option<f64>)>,
+    /// The latest response.
+    latest: Option<Observation>,
+    /// When this entry last received a response that withdrew the limit.
+    withdrawn: Option<Instant>,
     /// This entry's share of the limit, while there is one.
     share: Option<SharedRate>,
 }
@@ -20,20 +36,57 @@
     /// Records what a response that arrived at `now` names. `phase` is that of [`SharedRate::new`]. Returns
     /// whether the limit has changed.
     pub(crate) fn observe(&mut self, now: Instant, rate: Option<f64>, phase: f64) -> bool {
+        if rate.is_none() && self.rate().is_some() {
+            self.withdrawn = Some(now);
+        }
+        let own = true;
+        let time = now;
+        self.apply(now, Observation { time, rate, own }, phase)
+    }
+
+    /// Applies what another entry tells, if it is newer. Returns whether the limit has changed.
+    pub(crate) fn merge(&mut self, now: Instant, limit: &TargetLimit, phase: f64) -> bool {
+        let age = Duration::from_millis(u64::from(limit.age));
+        let Some(time) = now.checked_sub(age) else {
+            return false;
+        };
+        if self.latest.is_some_and(|latest| latest.time >= time) {
+            return false;
+        }
+        let rate = limit.rate.map(f64::from);
+        let own = false;
+        self.apply(now, Observation { time, rate, own }, phase)
+    }
+
+    fn apply(&mut self, now: Instant, latest: Observation, phase: f64) -> bool {
         let before = self.rate();
-        self.latest = Some((now, rate));
-        match (&mut self.share, rate) {
+        self.latest = Some(latest);
+        match (&mut self.share, latest.rate) {
             (Some(share), Some(rate)) => share.set_rate(rate.max(MIN_RATE)),
             (share, rate) => {
                 *share = rate.map(|rate| SharedRate::new(now, rate.max(MIN_RATE), phase));
             }
         }
-        before != rate
+        before != latest.rate
+    }
+
+    /// Returns the latest response for the other entries, if this entry received it and it names or has
+    /// recently withdrawn a limit. `target` is the short hash of the target's name.
+    pub(crate) fn news(&self, now: Instant, target: u32) -> Option<TargetLimit> {
+        let elapsed = |time: Instant| now.saturating_duration_since(time);
+        let latest = self.latest.filter(|latest| latest.own)?;
+        let withdrawn = self.withdrawn.map(elapsed);
+        let is_news = latest.rate.is_some() || withdrawn.is_some_and(|t| t < WITHDRAWAL_PERIOD);
+        is_news.then(|| TargetLimit {
+            target,
+            rate: latest.rate.map(|rate| rate as f32),
+            age: u32::try_from(elapsed(latest.time).as_millis()).unwrap_or(u32::MAX),
+        })
     }
 
     /// Returns the limit in requests per second, if there is one.
     pub(crate) fn rate(&self) -> Option<f64> {
-        self.latest.and_then(|(_, rate)| rate)
+        self.latest.and_then(|latest| latest.rate)
     }
 
     /// Reports whether this entry may send a request now, if `entries` share the limit.
--- a/crates/ebonylug-dispatch/src/scheduler/loads.rs
+++ b/crates/ebonylug-dispatch/src/scheduler/loads.rs
@@ -4,9 +4,10 @@
 use std::time::Instant;
 
 use ebonylug_core::Name;
+use smallvec::SmallVec;
 
 use super::Scheduler;
-use crate::gossip::{PACE_UNIT_SECONDS, TargetLoad, TargetPace};
+use crate::gossip::{PACE_UNIT_SECONDS, TargetLimit, TargetLoad, TargetPace};
 use crate::hash::{mix, short_hash, unit_interval};
 use crate::overview::TargetOverview;
 use crate::target::{PeerLoad, TargetKey};
@@ -22,6 +23,37 @@
         record.limit.observe(now, rate, phase)
     }
 
+    /// Applies the limits that another entry has read. Returns the targets whose limits have changed.
+    pub fn merge_limits(
+        &mut self,
+        now: Instant,
+        limits: &[TargetLimit],
+    ) -> SmallVec<[TargetKey; 2]> {
+        let mut changed = SmallVec::new();
+        for (key, record) in self.targets.iter_mut().filter(|_| !limits.is_empty()) {
+            let target = short_hash(record.hash);
+            let phase = unit_interval(mix(record.hash, self.random_state));
+            for limit in limits.iter().filter(|limit| limit.target == target) {
+                if record.limit.merge(now, limit, phase) {
+                    changed.push(key);
+                }
+            }
+        }
+        changed
+    }
+
+    /// Returns the limits that this entry has read from responses itself, for the other entries.
+    pub fn local_limits(&self, now: Instant) -> impl Iterator<Item = TargetLimit> {
+        let records = self.targets.values();
+        records.filter_map(move |record| record.limit.news(now, short_hash(record.hash)))
+    }
+
+    /// Returns the limit that a target names, in requests per second.
+    #[must_use]
+    pub fn named_limit(&self, key: TargetKey) -> Option<f64> {
+        self.targets.get(key)?.limit.rate()
+    }
+
     /// Sets the load that peers report for each target, by short hash of its name.
     pub fn set_peer_loads(&mut self, loads: &HashMap<u32, PeerLoad>) {
         for record in self.targets.values_mut() {
--- a/crates/ebonylug-dispatch/tests/named_limits.rs
+++ b/crates/ebonylug-dispatch/tests/named_limits.rs
@@ -121,3 +121,34 @@
     scheduler.put_target(later, target(2));
     assert!((0..20).all(|_| send(&mut scheduler, later)));
 }
+
+/// Guards against entries that go on until a response tells each of them of the limit, or of its end.
+#[test]
+fn an_entry_learns_of_a_limit_and_of_its_end_from_another() {
+    let now = Instant::now();
+    let (mut first, first_key) = scheduler(now, 0, 2);
+    let (mut second, second_key) = scheduler(now, 1, 2);
+    second.record_limit(now, second_key, None);
+    let at = |ms| now + Duration::from_millis(ms);
+
+    first.record_limit(at(100), first_key, Some(2.0));
+    let limits: Vec<_> = first.local_limits(at(150)).collect();
+    assert!(second.local_limits(at(150)).next().is_none());
+    assert_eq!(second.merge_limits(at(151), &limits).len(), 1);
+    assert!(!send(&mut second, at(151)));
+    // An entry passes on only what it has read itself, and older messages change nothing.
+    assert!(second.local_limits(at(151)).next().is_none());
+    second.record_limit(at(200), second_key, Some(1.0));
+    assert!(
+        second
+            .merge_limits(at(210), &first.local_limits(at(209)).collect::<Vec<_>>())
+            .is_empty()
+    );
+    assert_eq!(second.named_limit(second_key), Some(1.0));
+
+    first.record_limit(at(300), first_key, None);
+    let limits: Vec<_> = first.local_limits(at(350)).collect();
+    assert_eq!(second.merge_limits(at(351), &limits).len(), 1);
+    assert!((0..20).all(|_| send(&mut second, at(351))));
+    assert!(first.local_limits(at(10_301)).next().is_none());
+}
