Compute latency thresholds anew while the first window fills

The thresholds above which a response of a new version counts as slow came from the first 50 responses of the old one and stayed until there were 512. If a few fast targets gave the first responses, a good version on slower targets looked slow for minutes.

The type moves to ebonylug-moves, where the entry on the users' platform can use it too.

--- a/crates/ebonylug-entry/src/lib.rs
+++ b/crates/ebonylug-entry/src/lib.rs
@@ -13,7 +13,6 @@
 
 mod at_most_once;
 mod attempt;
-mod baseline;
 mod caller;
 mod configuration;
 mod dispatcher;
--- a/crates/ebonylug-entry/src/moves.rs
+++ b/crates/ebonylug-entry/src/moves.rs
@@ -4,13 +4,12 @@
 
 use ebonylug_core::{Clock, Fence, Incarnation, Name};
 use ebonylug_moves::{
-    Actions, Bucket, Capacity, Evidence, MoveSpec, MoveState, MoveStatus, Sample, Share, StoreState,
+    Actions, Bucket, Capacity, Evidence, LatencyBaselines, MoveSpec, MoveState, MoveStatus, Sample,
+    Share, StoreState,
 };
 use ebonylug_resource::{Document, Move, RouteSpec};
 use ebonylug_routing::Router;
 
-use crate::baseline::LatencyBaselines;
-
 /// Maximum age of the evidence that an entry sends to its peers. Each entry sends only its own: the
 /// counts of all processes over 60 s take 480 KB at 410 entries. Within this time and with a fanout
 /// of 2, an entry exchanges evidence with a fifth of 410 entries. The result of the comparison is
--- a/crates/ebonylug-entry/src/baseline.rs
+++ b/crates/ebonylug-moves/src/baseline.rs
@@ -3,13 +3,14 @@
 
 use hdrhistogram::Histogram;
 
+use crate::LatencyThresholds;
 use ebonylug_core::Name;
-use ebonylug_moves::LatencyThresholds;
 
 /// Number of responses after which the thresholds are recomputed from new ones, so that they follow
 /// slow changes of the load.
 const WINDOW_SAMPLES: u64 = 512;
-/// Number of responses before the first thresholds are computed.
+/// Number of responses before the first thresholds are computed. Until the window is full, they are computed
+/// anew each time that the number has doubled, since the first responses may come from few targets.
 const MIN_SAMPLES: u64 = 50;
 /// The quantile of the base version's latencies above which a response counts as slow.
 const SLOW_QUANTILE: f64 = 0.95;
@@ -26,6 +27,8 @@
     ttft: Histogram<u64>,
     token_interval: Histogram<u64>,
     thresholds: Option<LatencyThresholds>,
+    /// The number of responses at which the thresholds are computed next.
+    next_update: u64,
 }
 
 impl LatencyBaselines {
@@ -40,12 +43,14 @@
             route.token_interval.saturating_record(micros(interval));
         }
         let samples = route.ttft.len();
-        if samples >= WINDOW_SAMPLES || (route.thresholds.is_none() && samples >= MIN_SAMPLES) {
+        if samples >= route.next_update {
+            route.next_update = (samples * 2).min(WINDOW_SAMPLES);
             route.update_thresholds(samples >= WINDOW_SAMPLES);
         }
     }
 
     /// Returns the latency thresholds of a route, or `None` until there are enough responses.
+    #[must_use]
     pub fn get(&self, route: &Name) -> Option<LatencyThresholds> {
         self.routes.get(route)?.thresholds
     }
@@ -60,6 +65,7 @@
             ttft: histogram(),
             token_interval: histogram(),
             thresholds: None,
+            next_update: MIN_SAMPLES,
         }
     }
 
--- a/crates/ebonylug-moves/src/counts.rs
+++ b/crates/ebonylug-moves/src/counts.rs
@@ -93,6 +93,18 @@
 }
 
 impl LatencyThresholds {
+    /// Returns thresholds that are this many times as high.
+    #[must_use]
+    pub fn scaled(self, factor: f64) -> Self {
+        let scale = |time: Duration| {
+            Duration::try_from_secs_f64(time.as_secs_f64() * factor).unwrap_or(Duration::MAX)
+        };
+        LatencyThresholds {
+            ttft: scale(self.ttft),
+            token_interval: scale(self.token_interval),
+        }
+    }
+
     /// Reports whether a response with these latencies is slow.
     #[must_use]
     pub fn is_slow(&self, ttft: Duration, token_interval: Option<Duration>) -> bool {
--- a/crates/ebonylug-moves/src/lib.rs
+++ b/crates/ebonylug-moves/src/lib.rs
@@ -44,6 +44,7 @@
 //! ```
 
 mod action;
+mod baseline;
 mod counts;
 mod evidence;
 mod likelihood;
@@ -58,6 +59,7 @@
 mod suspicion;
 
 pub use action::{Actions, Capacity, MoveAction, StoreState};
+pub use baseline::LatencyBaselines;
 pub use counts::{Counts, LatencyThresholds, Sample};
 pub use evidence::{BUCKET_LENGTH, Bucket, Evidence, MAX_BUCKETS, MAX_SERIES};
 pub use load::{LoadPlan, LoadRate, LoadState, TargetLoad};
