Compare the latencies of a new version with those of the old one

Cause: on the users' platform a response counted as slow if it missed the latency objective of its route. While the load is low, a version that is four times slower meets it (objective 600 to 1,000 ms, first event after 40 to 450 ms), and only its failures were compared. The class: an absolute limit where versions have to be compared.

Change: an entry compares each response with those of the old version at the same time: the time between events, and the time to the first event for a prompt of 1,000 tokens. Slow is what exceeds the slowest twentieth of the old version by a quarter, since targets of one version differ in speed by a factor of three. A stream counts after its fifth event, as some outlast the move. Responses of cold targets are left out. Until 50 responses of the old version are known, the objective decides as before.

--- a/crates/ebonylug-direct/src/attempt.rs
+++ b/crates/ebonylug-direct/src/attempt.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ebonylug_dispatch::{Outcome, TargetKey};
+use ebonylug_dispatch::{Outcome, ResponseLatency, TargetKey};
 use http::response::Parts;
 use http::{HeaderValue, StatusCode, header};
 use http_body_util::BodyExt;
@@ -207,7 +207,6 @@
         let read = collect(entry, entry.bounds.get().responses, body);
         match tokio::time::timeout_at(request.deadline, read).await {
             Ok(Ok(bytes)) => {
-                slot.set_slow(sent.elapsed() > request.route.latency_objective);
                 let failed = head.status.is_server_error();
                 slot.set_outcome(if failed {
                     Outcome::Failed
@@ -215,7 +214,10 @@
                     Outcome::Answered
                 });
                 if !failed {
-                    slot.set_pace(sent.elapsed().as_secs_f64());
+                    let time = sent.elapsed();
+                    slot.set_pace(time.as_secs_f64());
+                    let late = time > request.route.latency_objective;
+                    slot.record_latency(ResponseLatency::of_response(time), late);
                 }
                 entry.release_connection(connection);
                 Ok((head, bytes))
--- a/crates/ebonylug-direct/src/moves.rs
+++ b/crates/ebonylug-direct/src/moves.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, SystemTime};
 
 use ebonylug_core::{Incarnation, Name};
-use ebonylug_dispatch::{Rollout, RolloutStatus, Stage, VersionFilter};
+use ebonylug_dispatch::{
+    ResponseLatency, Rollout, RolloutStatus, Stage, VersionFilter, VersionLatencies,
+};
 use ebonylug_moves::{BUCKET_LENGTH, Bucket, Evidence, Sample};
 
 /// A move that an operator has requested.
@@ -39,6 +41,7 @@
     process: Incarnation,
     rollouts: HashMap<Name, Rollout>,
     evidence: Evidence,
+    latencies: VersionLatencies,
     /// The last stage that the platform has confirmed, by service.
     reported: HashMap<Name, Stage>,
     /// An uptime of this machine and the shared time at that uptime.
@@ -51,6 +54,7 @@
             process,
             rollouts: HashMap::new(),
             evidence: Evidence::default(),
+            latencies: VersionLatencies::default(),
             reported: HashMap::new(),
             shared_time: None,
         }
@@ -112,6 +116,24 @@
         }
     }
 
+    /// Compares the latencies of a response with those of the old version, which they become part of if
+    /// `version` is not on trial. Returns `None` until enough responses of the old version are known.
+    pub(crate) fn is_slow(
+        &mut self,
+        service: &Name,
+        version: &str,
+        latency: ResponseLatency,
+    ) -> Option<bool> {
+        let rollout = self.rollouts.get(service);
+        let on_trial = rollout.is_some_and(|rollout| {
+            *rollout.version() == *version && rollout.stage() != Stage::Completed
+        });
+        if !on_trial {
+            self.latencies.record_old(service, latency);
+        }
+        self.latencies.is_slow(service, latency)
+    }
+
     /// Records the result of a request as evidence.
     pub(crate) fn record(
         &mut self,
--- a/crates/ebonylug-direct/src/slot.rs
+++ b/crates/ebonylug-direct/src/slot.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use ebonylug_dispatch::{Outcome, Refusal, TargetKey, WaitKey};
+use ebonylug_dispatch::{Outcome, Refusal, ResponseLatency, TargetKey, WaitKey};
 use ebonylug_moves::Sample;
 use tokio::sync::oneshot;
 
@@ -37,8 +37,8 @@
     prompt: Cell<u32>,
     outcome: Cell<Outcome>,
     pace: Cell<Option<f64>>,
-    /// Whether the response missed the latency objective of its route.
-    slow: Cell<bool>,
+    /// Whether the response has been recorded as evidence about the version of the target.
+    recorded: Cell<bool>,
 }
 
 impl SlotGuard {
@@ -49,7 +49,7 @@
             target,
             outcome: Cell::new(Outcome::Withdrawn),
             pace: Cell::new(None),
-            slow: Cell::new(false),
+            recorded: Cell::new(false),
         }
     }
 
@@ -71,9 +71,27 @@
         self.outcome.set(outcome);
     }
 
-    /// Sets whether the response missed the latency objective of its route.
-    pub(crate) fn set_slow(&self, slow: bool) {
-        self.slow.set(slow);
+    /// Records the latencies of a successful response as evidence about the version of the target. `late`
+    /// states whether it missed the latency objective of its route, which decides whether it was slow
+    /// until enough responses of the old version are known. Later calls have no effect.
+    pub(crate) fn record_latency(&self, latency: ResponseLatency, late: bool) {
+        if self.recorded.replace(true) {
+            return;
+        }
+        let (now, uptime) = (self.entry.clock.now(), self.entry.uptime.uptime());
+        let mut state = self.entry.state.borrow_mut();
+        let cold = state.scheduler.is_cold(now, self.target);
+        let Some(target) = state.scheduler.target(self.target) else {
+            return;
+        };
+        let (service, version) = (target.service.clone(), target.version.clone());
+        let moves = &mut state.moves;
+        let slow = match cold {
+            true => false,
+            false => moves.is_slow(&service, &version, latency).unwrap_or(late),
+        };
+        let sample = Sample::success().slow(slow).cold(cold);
+        moves.record(uptime, &service, &version, sample);
     }
 
     /// Sets the time per unit of work, in seconds.
@@ -91,7 +109,8 @@
             .scheduler
             .finish_prefill(self.target, self.prompt.get());
         let sample = match outcome {
-            Outcome::Answered => Some(Sample::success().slow(self.slow.get())),
+            Outcome::Answered if self.recorded.get() => None,
+            Outcome::Answered => Some(Sample::success()),
             Outcome::Failed | Outcome::Broken | Outcome::Unreachable => Some(Sample::failure()),
             Outcome::Refused | Outcome::Withdrawn => None,
         };
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ebonylug_dispatch::{Outcome, RouteKind};
+use ebonylug_dispatch::{Outcome, ResponseLatency, RouteKind};
 use http::HeaderValue;
 use http_body_util::BodyExt;
 use tokio::time::Instant;
@@ -12,6 +12,10 @@
 use crate::forward::ForwardJob;
 use crate::response::Result;
 
+/// The number of events after which the latencies of a stream are recorded. Some streams of a slow version
+/// last as long as the move.
+const EARLY_EVENTS: u32 = 5;
+
 /// The events of one response, which may come from several targets in turn.
 pub(crate) struct EventStream {
     splitter: EventSplitter,
@@ -181,6 +185,9 @@
                     let gap = now.duration_since(self.events.latest_at);
                     self.events.longest_gap = self.events.longest_gap.max(gap);
                     self.events.latest_at = now;
+                    if self.events.count >= EARLY_EVENTS {
+                        self.record_latency(&opened);
+                    }
                     self.opened = Some(opened);
                     return Some(Ok(bytes));
                 }
@@ -268,6 +275,21 @@
         );
     }
 
+    /// Records the latencies so far, unless the stream was resumed or they have been recorded.
+    fn record_latency(&self, opened: &OpenResponse) {
+        let events = &self.events;
+        let Some(first) = events.first_at.checked_duration_since(opened.sent) else {
+            return;
+        };
+        let between = events.latest_at.duration_since(events.first_at);
+        let interval = (events.count > 1).then(|| between / (events.count - 1));
+        let request = &self.job.request;
+        let prompt = request.prompt_tokens(&self.job.entry.dialect);
+        let latency = ResponseLatency::of_stream(first, prompt, interval);
+        let late = first > request.route.latency_objective;
+        opened.slot.record_latency(latency, late);
+    }
+
     fn finish(&mut self, opened: OpenResponse) {
         self.log_served(&opened);
         self.job.mark_finished();
@@ -281,10 +303,7 @@
             .instruments
             .record_request(kind, "served", "", time);
         opened.slot.set_outcome(Outcome::Answered);
-        let first = self.events.first_at.duration_since(opened.sent);
-        opened
-            .slot
-            .set_slow(first > self.job.request.route.latency_objective);
+        self.record_latency(&opened);
         if self.events.count > 1 {
             let time = self.events.first_at.elapsed().as_secs_f64();
             opened
--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`Peers`]: the last reported state of the other entries.
 //! - [`CrashDetector`]: requests and prompt parts that crash the targets that run them.
 //! - [`Rollout`]: a move of a service to another version.
+//! - [`VersionLatencies`]: whether responses take longer than those of the old version.
 //!
 //! # Limits across entries
 //!
@@ -45,6 +46,7 @@
 mod settings;
 mod shared_rate;
 mod target;
+mod version_latency;
 
 pub use budget::{RetryBudget, RetryRule};
 pub use config::{Config, Limits, Organisation, Quota, RawConfig, Route, RouteKind, Service};
@@ -64,3 +66,4 @@
 pub use scheduler::{Decision, Placement, PlacementRequest, Scheduler};
 pub use settings::{SchedulerSettings, Weights};
 pub use target::{PeerLoad, Target, TargetKey, TargetState};
+pub use version_latency::{ResponseLatency, VersionLatencies};
--- a/crates/ebonylug-dispatch/src/scheduler/loads.rs
+++ b/crates/ebonylug-dispatch/src/scheduler/loads.rs
@@ -48,6 +48,14 @@
         records.filter_map(move |record| record.limit.news(now, short_hash(record.hash)))
     }
 
+    /// Reports whether a target is or may be cold.
+    #[must_use]
+    pub fn is_cold(&self, now: Instant, key: TargetKey) -> bool {
+        let record = self.targets.get(key);
+        let cold = record.and_then(|record| record.cold.as_ref());
+        cold.is_some_and(|cold| now < cold.until())
+    }
+
     /// Returns the limit that a target names, in requests per second.
     #[must_use]
     pub fn named_limit(&self, key: TargetKey) -> Option<f64> {
--- a/crates/ebonylug-dispatch/tests/rollout.rs
+++ b/crates/ebonylug-dispatch/tests/rollout.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, SystemTime};
 
 use ebonylug_core::{Incarnation, Name};
-use ebonylug_dispatch::{Rollout, Stage, VersionFilter};
+use ebonylug_dispatch::{ResponseLatency, Rollout, Stage, VersionFilter, VersionLatencies};
 use ebonylug_moves::{Evidence, Sample};
 
 const TIME_LIMIT: Duration = Duration::from_secs(12);
@@ -25,9 +25,25 @@
     end_progress: f64,
 }
 
-/// Simulates a move with 3 requests per step. Entries exchange messages every 100 ms if `connected`,
-/// and never otherwise.
+/// Simulates a move to a version with this behaviour, from one that fails 2 in 100 requests.
 fn simulate(behaviour: Behaviour, connected: bool) -> Simulation {
+    let respond = |_: usize, is_new, progress, draw| {
+        if is_new {
+            behaviour(progress, draw)
+        } else {
+            good(progress, draw)
+        }
+    };
+    simulate_with(respond, connected)
+}
+
+/// Simulates a move with 3 requests per step. `respond` returns the response that an entry gets, from the
+/// new version or the old one, at this progress of the window and for this random number from 0 to 99.
+/// Entries exchange messages every 100 ms if `connected`, and never otherwise.
+fn simulate_with(
+    mut respond: impl FnMut(usize, bool, f64, u64) -> Sample,
+    connected: bool,
+) -> Simulation {
     let start = SystemTime::UNIX_EPOCH + Duration::from_secs(100);
     let mut entries: Vec<(Rollout, Evidence)> = (1..=ENTRIES)
         .map(|process| {
@@ -48,7 +64,8 @@
                 .wrapping_mul(6_364_136_223_846_793_005)
                 .wrapping_add(1_442_695_040_888_963_407);
             let draw = (random >> 33) % 100;
-            let (rollout, evidence) = &mut entries[(step as usize + request) % ENTRIES as usize];
+            let entry = (step as usize + request) % ENTRIES as usize;
+            let (rollout, evidence) = &mut entries[entry];
             total_requests += 1;
             match rollout.choose_versions(false) {
                 VersionFilter::Only(_) => {
@@ -56,7 +73,7 @@
                     if fiftieth_bad.is_some_and(|time| now > time + Duration::from_secs(5)) {
                         late_requests += 1;
                     }
-                    let sample = behaviour(progress, draw);
+                    let sample = respond(entry, true, progress, draw);
                     if !sample.success || sample.slow {
                         bad += 1;
                         if bad == 50 {
@@ -66,12 +83,7 @@
                     rollout.record(now, evidence, "v2", sample);
                 }
                 VersionFilter::All | VersionFilter::Except(_) => {
-                    let good = draw >= 2;
-                    let sample = if good {
-                        Sample::success()
-                    } else {
-                        Sample::failure()
-                    };
+                    let sample = respond(entry, false, progress, draw);
                     rollout.record(now, evidence, "v1", sample);
                 }
             }
@@ -163,6 +175,69 @@
     }
 }
 
+/// Returns the time between two events at a target of one of two speeds, which serve 60 and 40 in 100
+/// requests. `draw` is a random number from 0 to 99.
+fn interval(draw: u64) -> Duration {
+    let variation = 0.8 + 0.004 * (draw * 37 % 100) as f64;
+    let target = if draw < 60 { 16.0 } else { 41.0 };
+    Duration::from_secs_f64(target * variation / 1e3)
+}
+
+/// Simulates a move in which the entries compare latencies. `new_interval` returns the time between two
+/// events of the new version. All responses succeed and meet their objective.
+fn simulate_latency(new_interval: fn(u64) -> Duration) -> Simulation {
+    let service = Name::new("pool");
+    let latency = |interval| {
+        let first = Duration::from_millis(100);
+        ResponseLatency::of_stream(first, 500, Some(interval))
+    };
+    let mut entries: Vec<VersionLatencies> = Vec::new();
+    for _ in 0..ENTRIES {
+        // The first responses come from the faster targets only.
+        let mut latencies = VersionLatencies::default();
+        for draw in 0..100 {
+            latencies.record_old(&service, latency(interval(draw)));
+        }
+        entries.push(latencies);
+    }
+    let respond = |entry: usize, is_new: bool, _, draw| {
+        let interval = if is_new { new_interval } else { interval };
+        let latency = latency(interval(draw));
+        let latencies: &mut VersionLatencies = &mut entries[entry];
+        if !is_new {
+            latencies.record_old(&service, latency);
+        }
+        let slow = latencies.is_slow(&service, latency);
+        Sample::success().slow(slow.expect("enough responses of the old version"))
+    };
+    simulate_with(respond, true)
+}
+
+/// Guards against a version that is several times slower than the old one and is completed because its
+/// responses meet their objective while the load is low.
+#[test]
+fn a_slow_version_that_meets_its_objectives_is_rolled_back() {
+    let cases: [(&str, fn(u64) -> Duration); 2] = [
+        ("four times", |draw| interval(draw) * 4),
+        ("three times", |draw| interval(draw) * 3),
+    ];
+    for (name, new_interval) in cases {
+        let result = simulate_latency(new_interval);
+        assert_eq!(result.stage, Stage::RolledBack, "{name}");
+        assert_eq!(result.late_requests, 0, "{name}");
+        let allowed = 0.1 * result.total_requests as f64 + 50.0;
+        assert!(result.new_requests as f64 <= allowed, "{name}");
+    }
+}
+
+/// Guards against a good version that is rolled back because all its targets are of the slower kind, or
+/// because it is compared with the first responses of the old version only.
+#[test]
+fn a_good_version_on_slower_targets_is_completed() {
+    let result = simulate_latency(|draw| interval(60 + draw * 2 / 5));
+    assert_eq!(result.stage, Stage::Completed);
+}
+
 /// Guards against a move that continues after another entry has ended it.
 #[test]
 fn a_final_stage_is_never_left() {
