Repeat changes of the crash log until each entry has got a message

A change was repeated for one second. With several hundred entries the interval between two messages to one of another zone is longer than that (3 ms for each entry), so an entry could miss a crash until the whole log is repeated. The time now follows the interval, as that of quotas does.

entries_combine_their_crashes covers a longer span.

--- a/crates/ebonylug-direct/src/exchange.rs
+++ b/crates/ebonylug-direct/src/exchange.rs
@@ -55,7 +55,7 @@
             evidence,
             crashes: match content {
                 Content::Loads => CrashLog::new(),
-                Content::Quotas | Content::Paces => state.crashes.recent_changes(now),
+                Content::Quotas | Content::Paces => state.crashes.recent_changes(now, span),
                 Content::Everything => state.crashes.log().clone(),
             },
         }
--- a/crates/ebonylug-dispatch/src/crashes.rs
+++ b/crates/ebonylug-dispatch/src/crashes.rs
@@ -19,8 +19,10 @@
 /// Time for which a completed run proves that its content and prompt parts are harmless. What was harmless
 /// may become harmful with a new version of the targets.
 const COMPLETION_VALIDITY: Duration = Duration::from_secs(60);
-/// Time after a change for which gossip messages include it.
-const BROADCAST_PERIOD: Duration = Duration::from_secs(1);
+/// Minimum time after a change for which gossip messages include it.
+const MIN_BROADCAST: Duration = Duration::from_secs(1);
+/// Time for which changes are kept for gossip messages.
+const CHANGE_RETENTION: Duration = Duration::from_secs(10);
 
 /// The content and the shared prompt parts of a request, which may make it crash its target.
 pub type RequestCauses = SmallVec<[CrashCause; 4]>;
@@ -66,7 +68,7 @@
     signals: HashMap<TargetRun, RunSignals>,
     /// What has completed, and when last.
     completed: LruCache<CrashCause, Instant>,
-    /// The crashes that this entry has changed within [`BROADCAST_PERIOD`].
+    /// The crashes that this entry has changed within [`CHANGE_RETENTION`].
     changes: Vec<(Instant, CrashId)>,
 }
 
@@ -149,10 +151,12 @@
         &self.log
     }
 
-    /// Returns the crashes that this entry has changed within the last second.
+    /// Returns the crashes that this entry has changed within `span`, or within a second if that is longer.
+    /// `span` must be long enough for each other entry to get a message.
     #[must_use]
-    pub fn recent_changes(&self, now: Instant) -> CrashLog {
-        let recent = |time: Instant| now.saturating_duration_since(time) < BROADCAST_PERIOD;
+    pub fn recent_changes(&self, now: Instant, span: Duration) -> CrashLog {
+        let span = span.max(MIN_BROADCAST);
+        let recent = |time: Instant| now.saturating_duration_since(time) < span;
         let changes = self.changes.iter().filter(|(time, _)| recent(*time));
         self.log.only(changes.map(|(_, id)| *id))
     }
@@ -165,7 +169,8 @@
             signals.down = signals.down.filter(|&time| recent(time));
             signals.down.is_some() || !signals.broken.is_empty()
         });
-        self.changes.retain(|(time, _)| recent(*time));
+        self.changes
+            .retain(|(time, _)| now.saturating_duration_since(*time) < CHANGE_RETENTION);
     }
 
     /// Returns the causes that have not completed recently.
--- a/crates/ebonylug-dispatch/tests/crashes.rs
+++ b/crates/ebonylug-dispatch/tests/crashes.rs
@@ -31,9 +31,17 @@
     assert!(entries[1].is_quarantined(&[BAD]));
     assert!(!entries[1].is_quarantined(&[GOOD]));
     // The crash that the entry has detected itself is sent to its peers, the merged one is not.
-    assert_eq!(entries[1].recent_changes(now).len(), 1);
+    assert_eq!(entries[1].recent_changes(now, Duration::ZERO).len(), 1);
+    // With many entries, a change is repeated until each of them has got a message.
     let later = now + Duration::from_secs(2);
-    assert!(entries[1].recent_changes(later).is_empty());
+    entries[1].expire(later);
+    assert!(entries[1].recent_changes(later, Duration::ZERO).is_empty());
+    assert_eq!(
+        entries[1]
+            .recent_changes(later, Duration::from_secs(3))
+            .len(),
+        1
+    );
 }
 
 /// Guards against a frequent request that is quarantined because it ran on targets that crashed for
@@ -157,7 +165,7 @@
     assert!(entries.iter().all(|entry| entry.is_quarantined(&[part(1)])));
     entries[1].record_completed(now, &prompt(9, &[1]));
     assert!(!entries[1].is_quarantined(&[part(1)]));
-    let changes = entries[1].recent_changes(now);
+    let changes = entries[1].recent_changes(now, Duration::ZERO);
     assert!(entries[0].merge(&changes));
     assert!(!entries[0].is_quarantined(&[part(1)]));
     // A completed run says nothing about crashes long after it.
