--- a/crates/ebonylug-admission/src/admission.rs
+++ b/crates/ebonylug-admission/src/admission.rs
@@ -15,7 +15,7 @@
 use crate::refusals::Refusals;
 use crate::reservation::Reservations;
 use crate::settings::TargetKind;
-use crate::stream::{Stream, Streams};
+use crate::stream::{Stream, Streams, causes};
 use crate::{Action, AttemptIds, CauseStatus, CrashId, CrashLog, Decision, Settings};
 
 /// The maximum number of attempts divided by this is the number of records that batch work leaves
@@ -158,7 +158,9 @@
         }
         match end {
             End::Answered => {
-                self.crashes.clear(stream.fingerprint);
+                for &cause in &stream.causes {
+                    self.crashes.clear(cause);
+                }
             }
             End::Failed if stream.admitted >= self.limit.cold_since() => {
                 self.limit.record_failure(&self.settings);
@@ -344,10 +346,11 @@
         if !self.up {
             return Err(Reason::Down);
         }
-        match self.crashes.status(offer.fingerprint) {
-            CauseStatus::Quarantined => Err(Reason::Quarantined),
-            status => Ok(status),
+        if self.crashes.request_status(&causes(offer)) == CauseStatus::Quarantined {
+            return Err(Reason::Quarantined);
         }
+        // Many requests share a part. If each of them ran alone, they would occupy all targets.
+        Ok(self.crashes.status(offer.fingerprint))
     }
 
     /// Admits the offer if there is capacity. Returns the attempts to preempt.
@@ -534,8 +537,9 @@
         }
         let others = self.streams.iter().filter(|(_, s)| s.epoch == stream.epoch);
         let in_flight = others
-            .map(|(_, s)| s.fingerprint)
-            .chain([stream.fingerprint]);
+            .map(|(_, s)| s)
+            .chain([stream])
+            .flat_map(|s| s.causes.iter().copied());
         self.crashes.record(id, in_flight);
     }
 
--- a/crates/ebonylug-admission/src/lib.rs
+++ b/crates/ebonylug-admission/src/lib.rs
@@ -30,6 +30,7 @@
 //!     cached: Tokens(0),
 //!     output: Tokens(100),
 //!     fingerprint: Fingerprint::of(b"prompt"),
+//!     parts: Default::default(),
 //!     repeat: Repeat::Yes,
 //!     offset: 0,
 //!     fence: None,
--- a/crates/ebonylug-admission/src/stream.rs
+++ b/crates/ebonylug-admission/src/stream.rs
@@ -1,7 +1,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use ebonylug_core::{AttemptId, Fingerprint, Offer, Repeat, Tier, Tokens};
+use ebonylug_core::{AttemptId, CrashCause, Fingerprint, Offer, Repeat, Tier, Tokens};
+use smallvec::SmallVec;
 
 use crate::limit::Load;
 
@@ -19,6 +20,8 @@
     pub(crate) prompt: Tokens,
     pub(crate) cached: Tokens,
     pub(crate) fingerprint: Fingerprint,
+    /// The content and the prompt parts, which may make the attempt crash the target.
+    pub(crate) causes: SmallVec<[CrashCause; 4]>,
     pub(crate) repeat: Repeat,
     pub(crate) admitted: Instant,
     /// The epoch of the target in which the attempt was admitted.
@@ -54,6 +57,12 @@
     pub(crate) gap: Duration,
 }
 
+/// Returns what may make an attempt crash its target: its content and the parts of its prompt.
+pub(crate) fn causes(offer: &Offer) -> SmallVec<[CrashCause; 4]> {
+    let parts = offer.parts.iter().copied().map(CrashCause::PromptPart);
+    parts.chain([offer.fingerprint.into()]).collect()
+}
+
 impl Stream {
     pub(crate) fn new(now: Instant, offer: &Offer, cost: Tokens) -> Self {
         Stream {
@@ -62,6 +71,7 @@
             prompt: offer.prompt,
             cached: offer.cached,
             fingerprint: offer.fingerprint,
+            causes: causes(offer),
             repeat: offer.repeat,
             admitted: now,
             epoch: 0,
--- a/crates/ebonylug-admission/tests/crash.rs
+++ b/crates/ebonylug-admission/tests/crash.rs
@@ -190,3 +190,31 @@
         assert_eq!(nested, expected, "{order:?}");
     }
 }
+
+/// Guards against different requests with a common part of their prompt that crash the target of one
+/// sidecar after another, and against refusing sound requests that share their other parts.
+#[test]
+fn a_part_that_crashes_the_target_is_quarantined() {
+    const SHARED: Fingerprint = Fingerprint(100);
+    const HARMFUL: Fingerprint = Fingerprint(101);
+    let (mut admission, now) = warm(Settings::model(INCARNATION));
+    let with_parts = |request, parts: &[Fingerprint]| {
+        let mut offer = offer(request, Tier::interactive(0), 10);
+        offer.parts = parts.into();
+        offer
+    };
+    for request in 1..=3 {
+        let harmful = with_parts(request, &[SHARED, HARMFUL]);
+        assert!(admission.offer(now, harmful).is_admit(), "{request}");
+        admission.finish(now, id(request, 0), End::Crashed);
+        admission.target_down(now);
+        admission.target_up(now);
+        // A sound request with the shared part completes after the crash.
+        let sound = with_parts(10 + request, &[SHARED]);
+        assert!(admission.offer(now, sound).is_admit(), "{request}");
+        admission.finish(now, id(10 + request, 0), End::Answered);
+    }
+    let harmful = admission.offer(now, with_parts(4, &[SHARED, HARMFUL]));
+    assert_eq!(reason(&harmful), Some(Reason::Quarantined));
+    assert!(admission.offer(now, with_parts(14, &[SHARED])).is_admit());
+}
--- a/crates/ebonylug-admission/tests/support/mod.rs
+++ b/crates/ebonylug-admission/tests/support/mod.rs
@@ -32,6 +32,7 @@
         cached: Tokens(0),
         output: Tokens(0),
         fingerprint: Fingerprint(request as u64),
+        parts: Default::default(),
         repeat: Repeat::Yes,
         offset: 0,
         fence: None,
--- a/crates/ebonylug-core/src/lib.rs
+++ b/crates/ebonylug-core/src/lib.rs
@@ -33,7 +33,7 @@
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use crash_cause::CrashCause;
 pub use id::{Fence, Fingerprint, Incarnation, ParseIdError, RequestId, Revision};
-pub use message::{EngineReport, Gate, LoadReport, Offer, Reason, Refusal, Repeat};
+pub use message::{EngineReport, Gate, LoadReport, Offer, PromptParts, Reason, Refusal, Repeat};
 pub use name::Name;
 pub use tier::{Class, Tier};
 pub use tokens::Tokens;
--- a/crates/ebonylug-core/src/message.rs
+++ b/crates/ebonylug-core/src/message.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use crate::{AttemptId, Fence, Fingerprint, Incarnation, Name, Revision, Tier, Tokens};
 
@@ -14,6 +15,9 @@
     No,
 }
 
+/// Hashes of the parts of a prompt that other requests may share, such as the messages before the last one.
+pub type PromptParts = SmallVec<[Fingerprint; 4]>;
+
 /// A request of an entry to a sidecar to admit an attempt.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Offer {
@@ -35,6 +39,8 @@
     pub output: Tokens,
     /// Hash of the content, which attributes crashes to a request.
     pub fingerprint: Fingerprint,
+    /// Hashes of the parts of the prompt that other requests may share, which attribute crashes to a part.
+    pub parts: PromptParts,
     /// Whether the request may be run again after an unknown outcome.
     pub repeat: Repeat,
     /// Output tokens that earlier, preempted attempts have delivered.
--- a/crates/ebonylug-entry/src/caller.rs
+++ b/crates/ebonylug-entry/src/caller.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use tokio::sync::mpsc;
 
-use ebonylug_core::{Fingerprint, Name, Reason, Refusal, Repeat, RequestId, Tokens};
+use ebonylug_core::{Fingerprint, Name, PromptParts, Reason, Refusal, Repeat, RequestId, Tokens};
 use ebonylug_idempotency::CallKey;
 use ebonylug_net::frame::Head;
 use ebonylug_net::serve::{self, BodyError, HttpResponse, Request};
@@ -48,6 +48,7 @@
     prompt_tokens: Tokens,
     max_output: Tokens,
     prefix: Prefix,
+    parts: PromptParts,
     call: Call,
     key: Option<Box<str>>,
 }
@@ -147,6 +148,7 @@
         prompt_tokens: prompt.tokens,
         max_output: prompt.max_output,
         prefix: prompt.prefix,
+        parts: prompt.parts,
         call,
         key: None,
     })
@@ -191,6 +193,7 @@
         prompt_tokens: Tokens(1),
         max_output: Tokens::ZERO,
         prefix: Prefix::new(),
+        parts: PromptParts::new(),
         call,
         key,
     })
@@ -347,6 +350,7 @@
         max_output: resolved.max_output,
         prefix: resolved.prefix.clone(),
         fingerprint: fingerprint(&resolved.call),
+        parts: resolved.parts.clone(),
         deadline: resolved.deadline.map(|time| shared.clock.now() + time),
         repeat: resolved.repeat,
         offset: 0,
--- a/crates/ebonylug-entry/src/prompt.rs
+++ b/crates/ebonylug-entry/src/prompt.rs
@@ -2,7 +2,7 @@
 use serde_json::value::RawValue;
 use smallvec::SmallVec;
 
-use ebonylug_core::Tokens;
+use ebonylug_core::{Fingerprint, PromptParts, Tokens};
 
 /// Average number of bytes of text per token, over common tokenizers.
 const BYTES_PER_TOKEN: usize = 4;
@@ -10,6 +10,8 @@
 const BLOCK_BYTES: usize = 256;
 /// Maximum number of prefix blocks per prompt.
 const MAX_BLOCKS: usize = 32;
+/// Maximum number of parts per prompt that may be found to crash targets.
+const MAX_PARTS: usize = 16;
 /// Assumed limit on output tokens if the caller sets none.
 const DEFAULT_MAX_OUTPUT: u64 = 1_024;
 
@@ -29,6 +31,8 @@
     pub max_output: Tokens,
     /// Hashes for prefix affinity.
     pub prefix: Prefix,
+    /// Hashes of the messages before the last one, which other requests may share.
+    pub parts: PromptParts,
 }
 
 #[derive(Deserialize)]
@@ -61,10 +65,23 @@
             tokens: Tokens((text.len() / BYTES_PER_TOKEN).max(1) as u64),
             max_output: Tokens(limit.unwrap_or(DEFAULT_MAX_OUTPUT)),
             prefix: prefix_hashes(text),
+            parts: part_hashes(body.messages),
         })
     }
 }
 
+/// Returns the hashes of all messages but the last one, or none if the messages are not a list.
+fn part_hashes(messages: &RawValue) -> PromptParts {
+    let Ok(mut list) = serde_json::from_str::<Vec<&RawValue>>(messages.get()) else {
+        return PromptParts::new();
+    };
+    list.pop();
+    let parts = list.into_iter().take(MAX_PARTS);
+    parts
+        .map(|message| Fingerprint::of(message.get().as_bytes()))
+        .collect()
+}
+
 fn prefix_hashes(text: &[u8]) -> Prefix {
     let mut hasher = blake3::Hasher::new();
     let blocks = text.chunks_exact(BLOCK_BYTES).take(MAX_BLOCKS);
--- a/crates/ebonylug-measure/src/capacity/mod.rs
+++ b/crates/ebonylug-measure/src/capacity/mod.rs
@@ -238,6 +238,7 @@
                 .map(|block| organisation as u64 * 64 + block)
                 .collect(),
             fingerprint: Fingerprint(self.next),
+            parts: Default::default(),
             deadline: Some(self.now + Duration::from_secs(36_000)),
             repeat: Repeat::Yes,
             offset: 0,
@@ -383,6 +384,7 @@
         cached: Tokens(0),
         output: Tokens(256),
         fingerprint: Fingerprint(number),
+        parts: Default::default(),
         repeat: Repeat::Yes,
         offset: 0,
         fence: None,
--- a/crates/ebonylug-measure/src/product/entry.rs
+++ b/crates/ebonylug-measure/src/product/entry.rs
@@ -148,6 +148,7 @@
             max_output: Tokens(spec.max_output),
             prefix: spec.prefix(job),
             fingerprint: Fingerprint(spec.fingerprint),
+            parts: Default::default(),
             deadline: Some(sim.instant_at(spec.deadline)),
             repeat: route.repeat,
             offset: 0,
--- a/crates/ebonylug-routing/examples/decision_cost.rs
+++ b/crates/ebonylug-routing/examples/decision_cost.rs
@@ -177,6 +177,7 @@
             max_output: Tokens(256),
             prefix: (0..8).map(block).collect(),
             fingerprint: Fingerprint(self.next_id),
+            parts: Default::default(),
             deadline: Some(self.now + Duration::from_secs(if batch { 36_000 } else { 600 })),
             repeat: Repeat::Yes,
             offset: 0,
--- a/crates/ebonylug-routing/src/lib.rs
+++ b/crates/ebonylug-routing/src/lib.rs
@@ -77,6 +77,7 @@
 //!     max_output: Tokens(100),
 //!     prefix: Default::default(),
 //!     fingerprint: Fingerprint::of(b"a quotation for 200 m of sisal"),
+//!     parts: Default::default(),
 //!     deadline: None,
 //!     repeat: Repeat::Yes,
 //!     offset: 0,
--- a/crates/ebonylug-routing/src/poll.rs
+++ b/crates/ebonylug-routing/src/poll.rs
@@ -420,6 +420,7 @@
             cached: chosen.cached.min(entry.input),
             output: entry.output.max(Tokens(1)),
             fingerprint: request.fingerprint,
+            parts: request.parts.clone(),
             repeat: request.repeat,
             offset: request.offset,
             fence: None,
--- a/crates/ebonylug-routing/src/request.rs
+++ b/crates/ebonylug-routing/src/request.rs
@@ -1,6 +1,6 @@
 use std::time::Instant;
 
-use ebonylug_core::{Fingerprint, Repeat, RequestId, Tier, Tokens};
+use ebonylug_core::{Fingerprint, PromptParts, Repeat, RequestId, Tier, Tokens};
 use smallvec::SmallVec;
 
 use crate::{OrganisationKey, RouteKey};
@@ -25,6 +25,8 @@
     pub prefix: SmallVec<[u64; 8]>,
     /// Hash of the request content, which attributes crashes to requests.
     pub fingerprint: Fingerprint,
+    /// Hashes of the parts of the prompt that other requests may share, which attribute crashes to a part.
+    pub parts: PromptParts,
     /// The time after which the response is no longer useful, if there is one.
     pub deadline: Option<Instant>,
     /// Whether the request may be run more than once.
--- a/crates/ebonylug-routing/tests/common/mod.rs
+++ b/crates/ebonylug-routing/tests/common/mod.rs
@@ -133,6 +133,7 @@
             max_output: Tokens(1),
             prefix: Default::default(),
             fingerprint: Fingerprint(self.next_id as u64),
+            parts: Default::default(),
             deadline: None,
             repeat: Repeat::Yes,
             offset: 0,
