Count only refused connections as a sign that a checked target is down

The check after a broken connection also counted a connection that timed out. An entry that is cut off from its targets would have recorded a crash of each of them, with what was in flight there, and could have quarantined a sound part until a request with it completed elsewhere.

A time-out now says nothing; a target that went dark is recorded when its row is removed, as before. Found by reading; the tests of quarantines pass.

--- a/crates/ebonylug-direct/src/crashes.rs
+++ b/crates/ebonylug-direct/src/crashes.rs
@@ -1,5 +1,6 @@
 //! What an entry records about requests that crash targets, and what it refuses because of it.
 
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use ebonylug_dispatch::TargetKey;
 
 use crate::entry::{Entry, millis};
+use crate::pool::Error;
 
 /// Interval at which the crash log is sent again, in case messages were lost.
 const CRASH_LOG_INTERVAL: Duration = Duration::from_secs(8);
@@ -52,6 +54,14 @@
     }
 }
 
+/// Reports whether a failed connection shows that no process listens at the address.
+fn is_down(error: &std::io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+    )
+}
+
 /// Checks whether a target still accepts connections. Without the check, a crash would be noticed only
 /// when the next request is sent there or the platform removes the target, which takes seconds. The
 /// connection replaces the broken one.
@@ -59,11 +69,14 @@
     if let Some(info) = entry.target(target) {
         match entry.pool.open(target, info.address).await {
             Ok(connection) => entry.release_connection(connection),
-            Err(error) => {
-                tracing::debug!(part = "crashes", target = %info.name, %error, "target is down");
+            Err(Error::Connect(error)) if is_down(&error) => {
                 let now = entry.clock.now();
                 entry.state.borrow_mut().record_down(now, &info);
             }
+            // The network between this entry and the target may have failed instead.
+            Err(error) => {
+                tracing::debug!(part = "crashes", target = %info.name, %error, "target cannot be checked");
+            }
         }
     }
     entry.checked.borrow_mut().remove(&target);
