Encode named limits without loss, and share the crashes of two tests

A limit such as 0.3 a second came back from another entry as a slightly different number, so each message of another entry logged a change. No decision differs.

--- a/crates/ebonylug-direct/tests/quarantine.rs
+++ b/crates/ebonylug-direct/tests/quarantine.rs
@@ -60,6 +60,21 @@
         .replace("x-id:", &format!("x-parts: {parts}\r\nx-id:"))
 }
 
+/// Starts an entry, and crashes its three targets by different requests with a common prompt part.
+async fn start_with_crashes() -> Harness {
+    let harness = Harness::start(&[]).await;
+    let mut targets = Vec::new();
+    for name in ["engine-1", "engine-2", "engine-3"] {
+        targets.push(crashing_target(name).await);
+    }
+    harness.entry.set_targets(targets);
+    for id in ["r1", "r2", "r3"] {
+        let harmful = prompt(id, &format!("shared:60,harmful:900,{id}:40"));
+        assert_eq!(status(&harness.call(&harmful).await), 502);
+    }
+    harness
+}
+
 /// Guards against a request that crashes one target after another because its callers retry it.
 #[test]
 fn a_request_that_crashes_targets_is_quarantined() {
@@ -89,16 +104,7 @@
 #[test]
 fn a_crash_is_recorded_without_another_request() {
     run(async {
-        let harness = Harness::start(&[]).await;
-        let mut targets = Vec::new();
-        for name in ["engine-1", "engine-2", "engine-3"] {
-            targets.push(crashing_target(name).await);
-        }
-        harness.entry.set_targets(targets);
-        for id in ["r1", "r2", "r3"] {
-            let harmful = prompt(id, &format!("shared:60,harmful:900,{id}:40"));
-            assert_eq!(status(&harness.call(&harmful).await), 502);
-        }
+        let harness = start_with_crashes().await;
         wait_until("the part is quarantined", || {
             !harness.entry.overview().quarantined.is_empty()
         })
@@ -110,16 +116,7 @@
 #[test]
 fn a_prompt_part_that_crashes_targets_is_quarantined() {
     run(async {
-        let harness = Harness::start(&[]).await;
-        let mut targets = Vec::new();
-        for name in ["engine-1", "engine-2", "engine-3"] {
-            targets.push(crashing_target(name).await);
-        }
-        harness.entry.set_targets(targets);
-        for id in ["r1", "r2", "r3"] {
-            let harmful = prompt(id, &format!("shared:60,harmful:900,{id}:40"));
-            assert_eq!(status(&harness.call(&harmful).await), 502);
-        }
+        let harness = start_with_crashes().await;
         let sound = prompt("r4", "shared:60,r4:900");
         assert_eq!(status(&harness.call(&sound).await), 503);
         let healthy = ScriptedTarget::start("engine-4", vec![Step::Send(success("r5", "a"))]).await;
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -59,7 +59,7 @@
     pub target: u32,
     /// The requests per second that the target accepts from all entries together. `None` if it has
     /// withdrawn its limit.
-    pub rate: Option<f32>,
+    pub rate: Option<f64>,
     /// Time since the response arrived, in milliseconds.
     pub age: u32,
 }
--- a/crates/ebonylug-dispatch/src/named_limit.rs
+++ b/crates/ebonylug-dispatch/src/named_limit.rs
@@ -53,7 +53,7 @@
         if self.latest.is_some_and(|latest| latest.time >= time) {
             return false;
         }
-        let rate = limit.rate.map(f64::from);
+        let rate = limit.rate;
         let own = false;
         self.apply(now, Observation { time, rate, own }, phase)
     }
@@ -79,7 +79,7 @@
         let is_news = latest.rate.is_some() || withdrawn.is_some_and(|t| t < WITHDRAWAL_PERIOD);
         is_news.then(|| TargetLimit {
             target,
-            rate: latest.rate.map(|rate| rate as f32),
+            rate: latest.rate,
             age: u32::try_from(elapsed(latest.time).as_millis()).unwrap_or(u32::MAX),
         })
     }
