Build the causes of a crash in one place, and the phase of shared rates too

The test for a content stood twice, and the phase of an entry's sends three times, once for each target of each message instead of each limit that matches.

A doc comment of CrashLog is wrapped, and that of CrashLog::only says that it takes several crashes. No behaviour changes; clippy and the tests of core, admission, dispatch and direct pass.

--- a/crates/ebonylug-admission/src/crash.rs
+++ b/crates/ebonylug-admission/src/crash.rs
@@ -66,8 +66,9 @@
 /// Processes exchange their logs and merge them. Merging is commutative, associative and
 /// idempotent, so the status of a cause does not depend on the order and number of exchanges.
 ///
-/// What three or more crashes have in common is quarantined, or two or more if that is a content alone. A crash with a quarantined cause no longer counts against the others that were
-/// in flight. A finished run clears the suspects that it contained of the crashes recorded so far, and
+/// What three or more crashes have in common is quarantined, or two or more if that is a content
+/// alone. A crash with a quarantined cause no longer counts against the others that were in flight.
+/// A finished run clears the suspects that it contained of the crashes recorded so far, and
 /// releases a prompt part, since a part that crashes targets does so in every request. Only an operator
 /// releases a content.
 ///
@@ -161,7 +162,7 @@
         changed
     }
 
-    /// Returns the log of a single crash, which a process sends to others when that crash has changed.
+    /// Returns a log of only these crashes, which a process sends to others when they have changed.
     #[must_use]
     pub fn only(&self, ids: impl IntoIterator<Item = CrashId>) -> CrashLog {
         let crashes = ids.into_iter().filter_map(|id| self.crashes.get(&id));
@@ -196,11 +197,8 @@
     /// the crashes that changed.
     pub fn clear(&mut self, cause: impl Into<CrashCause>) -> Vec<CrashId> {
         let cause = cause.into();
-        let clears = match cause {
-            CrashCause::PromptPart(_) => self.is_in_signature(cause) || self.is_suspect(cause),
-            CrashCause::Content(_) => self.is_suspect(cause),
-        };
-        match clears {
+        let is_releasable = !cause.is_content() && self.is_in_signature(cause);
+        match is_releasable || self.suspects.contains(&cause) {
             true => self.raise_status(cause, InFlightStatus::Cleared),
             false => Vec::new(),
         }
@@ -234,10 +232,6 @@
         self.crashes.is_empty()
     }
 
-    fn is_suspect(&self, cause: CrashCause) -> bool {
-        self.suspects.contains(&cause)
-    }
-
     fn is_in_signature(&self, cause: CrashCause) -> bool {
         self.signatures
             .iter()
@@ -374,8 +368,7 @@
 /// Reports whether this many crashes suffice to refuse requests with a signature. Two contents cannot
 /// belong to one request, so one of them is harmless.
 fn is_conclusive(signature: &Signature, crashes: usize) -> bool {
-    let is_content = |cause: &&CrashCause| matches!(cause, CrashCause::Content(_));
-    let contents = signature.iter().filter(is_content).count();
+    let contents = signature.iter().filter(|cause| cause.is_content()).count();
     let parts = signature.len() - contents;
     match (contents, parts) {
         (1, 0) => crashes >= MIN_CONTENT_CRASHES,
@@ -385,6 +378,5 @@
 }
 
 fn content_of(signature: &Signature) -> Option<CrashCause> {
-    let is_content = |cause: &&CrashCause| matches!(cause, CrashCause::Content(_));
-    signature.iter().find(is_content).copied()
+    signature.iter().find(|cause| cause.is_content()).copied()
 }
--- a/crates/ebonylug-admission/src/stream.rs
+++ b/crates/ebonylug-admission/src/stream.rs
@@ -1,8 +1,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use ebonylug_core::{AttemptId, CrashCause, Fingerprint, Offer, Repeat, Tier, Tokens};
-use smallvec::SmallVec;
+use ebonylug_core::{AttemptId, CrashCause, CrashCauses, Fingerprint, Offer, Repeat, Tier, Tokens};
 
 use crate::limit::Load;
 
@@ -21,7 +20,7 @@
     pub(crate) cached: Tokens,
     pub(crate) fingerprint: Fingerprint,
     /// The content and the prompt parts, which may make the attempt crash the target.
-    pub(crate) causes: SmallVec<[CrashCause; 4]>,
+    pub(crate) causes: CrashCauses,
     pub(crate) repeat: Repeat,
     pub(crate) admitted: Instant,
     /// The epoch of the target in which the attempt was admitted.
@@ -57,10 +56,9 @@
     pub(crate) gap: Duration,
 }
 
-/// Returns what may make an attempt crash its target: its content and the parts of its prompt.
-pub(crate) fn causes(offer: &Offer) -> SmallVec<[CrashCause; 4]> {
-    let parts = offer.parts.iter().copied().map(CrashCause::PromptPart);
-    parts.chain([offer.fingerprint.into()]).collect()
+/// Returns what may make an attempt crash its target.
+pub(crate) fn causes(offer: &Offer) -> CrashCauses {
+    CrashCause::of_request(offer.fingerprint, offer.parts.iter().copied())
 }
 
 impl Stream {
--- a/crates/ebonylug-core/src/crash_cause.rs
+++ b/crates/ebonylug-core/src/crash_cause.rs
@@ -2,6 +2,7 @@
 use std::str::FromStr;
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use smallvec::SmallVec;
 
 use crate::{Fingerprint, ParseIdError};
 
@@ -28,9 +29,29 @@
     Content(Fingerprint),
 }
 
+/// The content and the shared prompt parts of a request, which may make it crash its target.
+pub type CrashCauses = SmallVec<[CrashCause; 4]>;
+
 /// The prefix of a written prompt part.
 const PART_PREFIX: &str = "part-";
 
+impl CrashCause {
+    /// Returns the causes of a request with this content and these prompt parts.
+    pub fn of_request(
+        content: Fingerprint,
+        parts: impl IntoIterator<Item = Fingerprint>,
+    ) -> CrashCauses {
+        let parts = parts.into_iter().map(CrashCause::PromptPart);
+        parts.chain([content.into()]).collect()
+    }
+
+    /// Reports whether this is the whole content of a request.
+    #[must_use]
+    pub fn is_content(&self) -> bool {
+        matches!(self, CrashCause::Content(_))
+    }
+}
+
 impl From<Fingerprint> for CrashCause {
     fn from(content: Fingerprint) -> Self {
         CrashCause::Content(content)
--- a/crates/ebonylug-core/src/lib.rs
+++ b/crates/ebonylug-core/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use attempt::{AttemptId, End, Outcome, RevokeOutcome};
 pub use clock::{Clock, ManualClock, SystemClock};
-pub use crash_cause::CrashCause;
+pub use crash_cause::{CrashCause, CrashCauses};
 pub use id::{Fence, Fingerprint, Incarnation, ParseIdError, RequestId, Revision};
 pub use message::{EngineReport, Gate, LoadReport, Offer, PromptParts, Reason, Refusal, Repeat};
 pub use name::Name;
--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -25,6 +25,7 @@
 /// One in this many of the requests served in time is logged. All requests that fail, are refused or are
 /// late are logged.
 const LOG_SAMPLE_RATE: u64 = 100;
+
 /// The settings of an entry.
 #[derive(Clone, Debug)]
 pub struct Settings {
--- a/crates/ebonylug-direct/src/request.rs
+++ b/crates/ebonylug-direct/src/request.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use ebonylug_core::{CrashCause, Fingerprint, Name};
-use ebonylug_dispatch::{Config, Organisation, Reason, Refusal, RequestCauses, Route};
+use ebonylug_core::{CrashCause, CrashCauses, Fingerprint, Name};
+use ebonylug_dispatch::{Config, Organisation, Reason, Refusal, Route};
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header};
@@ -36,7 +36,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     /// The content and the shared prompt parts, which may make the request crash its targets.
-    pub(crate) causes: RequestCauses,
+    pub(crate) causes: CrashCauses,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(crate) deadline: Instant,
     pub(crate) arrived: Instant,
@@ -141,11 +141,9 @@
     let (body, memory) = read?;
     let headers = forwarded_headers(dialect, &parts.headers);
     let content = content_fingerprint(&parts.uri, matched.organisation.as_deref(), &body);
-    let causes = shared_parts(dialect, &headers)
-        .into_iter()
-        .map(|id| CrashCause::PromptPart(Fingerprint::of(id.as_bytes())))
-        .chain([content.into()])
-        .collect();
+    let shared = shared_parts(dialect, &headers).into_iter();
+    let shared = shared.map(|id| Fingerprint::of(id.as_bytes()));
+    let causes = CrashCause::of_request(content, shared);
     Ok(BufferedRequest {
         id,
         causes,
--- a/crates/ebonylug-dispatch/src/crashes.rs
+++ b/crates/ebonylug-dispatch/src/crashes.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use ebonylug_admission::{CauseStatus, CrashId, CrashLog};
-use ebonylug_core::{CrashCause, Incarnation, Name};
+use ebonylug_core::{CrashCause, CrashCauses, Incarnation, Name};
 use lru::LruCache;
 use smallvec::SmallVec;
 
@@ -24,9 +24,6 @@
 /// Time for which changes are kept for gossip messages.
 const CHANGE_RETENTION: Duration = Duration::from_secs(10);
 
-/// The content and the shared prompt parts of a request, which may make it crash its target.
-pub type RequestCauses = SmallVec<[CrashCause; 4]>;
-
 /// One run of a target: the hash of its name, and its start time in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct TargetRun(u64, u64);
@@ -34,7 +31,7 @@
 /// Recent signals of a possible crash of one run of a target.
 #[derive(Debug, Default)]
 struct RunSignals {
-    broken: SmallVec<[(Instant, RequestCauses); 4]>,
+    broken: SmallVec<[(Instant, CrashCauses); 4]>,
     down: Option<Instant>,
 }
 
@@ -174,7 +171,7 @@
     }
 
     /// Returns the causes that have not completed recently.
-    fn suspects(&self, now: Instant, causes: &[CrashCause]) -> RequestCauses {
+    fn suspects(&self, now: Instant, causes: &[CrashCause]) -> CrashCauses {
         let completed = |cause: &CrashCause| {
             let time = self.completed.peek(cause);
             time.is_some_and(|&time| now.saturating_duration_since(time) < COMPLETION_VALIDITY)
@@ -194,7 +191,7 @@
         }
         let broken = std::mem::take(&mut signals.broken);
         let broken = broken.into_iter().filter(|(time, _)| recent(*time));
-        let causes: RequestCauses = broken
+        let causes: CrashCauses = broken
             .flat_map(|(_, causes)| self.suspects(now, &causes))
             .collect();
         if causes.is_empty() {
--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -50,7 +50,7 @@
 
 pub use budget::{RetryBudget, RetryRule};
 pub use config::{Config, Limits, Organisation, Quota, RawConfig, Route, RouteKind, Service};
-pub use crashes::{CrashDetector, RequestCauses};
+pub use crashes::CrashDetector;
 pub use freshness::Freshness;
 pub use gossip::{
     Gossip, PeerChange, Peers, RolloutStatus, TargetCold, TargetLimit, TargetLoad, TargetPace,
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -225,7 +225,7 @@
         match &mut record.cold {
             Some(cold) if cold.until() > now => cold.extend(until),
             cold => {
-                let phase = unit_interval(mix(record.hash, self.random_state));
+                let phase = send_phase(record.hash, self.random_state);
                 *cold = ColdRate::new(now, until, rate, phase);
             }
         }
@@ -544,3 +544,8 @@
         }
     }
 }
+
+/// Returns the position of this entry's first send to a target among those of all entries, from 0 to 1.
+fn send_phase(target: u64, random_state: u64) -> f64 {
+    unit_interval(mix(target, random_state))
+}
--- a/crates/ebonylug-dispatch/src/scheduler/loads.rs
+++ b/crates/ebonylug-dispatch/src/scheduler/loads.rs
@@ -6,9 +6,9 @@
 use ebonylug_core::Name;
 use smallvec::SmallVec;
 
-use super::Scheduler;
+use super::{Scheduler, send_phase};
 use crate::gossip::{PACE_UNIT_SECONDS, TargetCold, TargetLimit, TargetLoad, TargetPace};
-use crate::hash::{mix, short_hash, unit_interval};
+use crate::hash::short_hash;
 use crate::overview::TargetOverview;
 use crate::target::{PeerLoad, TargetKey, TargetRecord};
 
@@ -19,7 +19,7 @@
         let Some(record) = self.targets.get_mut(key) else {
             return false;
         };
-        let phase = unit_interval(mix(record.hash, self.random_state));
+        let phase = send_phase(record.hash, self.random_state);
         record.limit.observe(now, rate, phase)
     }
 
@@ -32,8 +32,8 @@
         let mut changed = SmallVec::new();
         for (key, record) in self.targets.iter_mut().filter(|_| !limits.is_empty()) {
             let target = short_hash(record.hash);
-            let phase = unit_interval(mix(record.hash, self.random_state));
             for limit in limits.iter().filter(|limit| limit.target == target) {
+                let phase = send_phase(record.hash, self.random_state);
                 if record.limit.merge(now, limit, phase) {
                     changed.push(key);
                 }
