Review case 5: answers that are being delivered aren't counted in memory

Cause: the limit on the memory of responses counts a body only until it is complete. While it is delivered to a slow requester, it is held without a limit, so the process exceeds its memory and is killed.

Change: a script in which 24 requesters read answers of 6.5 MB at 10 Mbit/s; the slow link of case 4 has its own module now.

--- a/review/rig/cases/mod.rs
+++ b/review/rig/cases/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod drain;
 pub mod lost;
+pub mod memory;
 pub mod poison;
 pub mod promise;
 
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -7,6 +7,7 @@
 mod entry;
 mod http;
 mod json;
+mod link;
 mod record;
 mod site;
 mod store;
@@ -30,6 +31,7 @@
         "lost" => cases::lost::run(&record, trouble),
         "promise" => cases::promise::run(&record, trouble),
         "poison" => cases::poison::run(&record, trouble),
+        "memory" => cases::memory::run(&record, trouble),
         "drain" => cases::drain::run(&record, trouble),
         _ => Outcome::Unable(format!("no case {case}")),
     };
