Compare tables by a digest in each message between entries

Cause: a reader announced the version of a change, but not of the first rows that it reads after a start. A change that falls into the restart of the readers is part of those rows, so nobody announced it.

Change: each message carries, for each table, a version at which the sender's rows were current and a digest of them. An entry fetches the rows of a later version with another digest, whichever messages were lost. Equal rows are not fetched, so a restart moves no table. The stamps are shown in metrics and in the state page, and each fetched change of the orders is logged; before, nothing showed which rows an entry had.

--- a/crates/ebonylug-direct/src/exchange.rs
+++ b/crates/ebonylug-direct/src/exchange.rs
@@ -5,7 +5,7 @@
 
 use ebonylug_admission::CrashLog;
 use ebonylug_core::Name;
-use ebonylug_dispatch::{Gossip, TableKind, TableState};
+use ebonylug_dispatch::{Gossip, TableKind, TableStamp, TableState};
 use smallvec::SmallVec;
 
 use crate::entry::{Entry, millis};
@@ -104,13 +104,22 @@
         update.joined
     }
 
-    /// Records the version of the last change of a table.
-    pub(crate) fn set_table_version(&self, table: TableKind, version: u64) {
+    /// Records the rows of a table that this entry has, for its messages to the other entries.
+    pub(crate) fn set_table_stamp(&self, table: TableKind, stamp: TableStamp) {
         let mut tables = self.tables.get();
-        *tables.version_mut(table) = version;
+        *tables.stamp_mut(table) = stamp;
         self.tables.set(tables);
     }
 
+    /// Returns the stamp of the rows that this entry has. They are known up to `version`, which may be
+    /// later than their last change.
+    fn table_stamp(&self, table: TableKind, version: u64) -> TableStamp {
+        TableStamp {
+            version,
+            ..self.tables.get().stamp(table)
+        }
+    }
+
     /// Records whether the store answered the last read of a table.
     pub(crate) fn set_read_failing(&self, table: TableKind, failing: bool) {
         let mut all = self.failing.get();
@@ -123,7 +132,8 @@
         self.failing.get()[table as usize]
     }
 
-    fn table_state(&self) -> TableState {
+    /// Returns what this entry knows of the platform's tables.
+    pub(crate) fn table_state(&self) -> TableState {
         TableState {
             failing: self.failing.get().contains(&true),
             ..self.tables.get()
@@ -139,22 +149,21 @@
         state.peers.is_reader(now, &self.name, &self.zone, failing)
     }
 
-    /// Returns the entries that have a change of a table after `version`, those of this zone first.
+    /// Returns the entries that have other rows of a table than this one, which knows it up to `version`,
+    /// at a later version. Those of this zone come first.
     pub(crate) fn peers_with_newer(&self, table: TableKind, version: u64) -> SmallVec<[Name; 4]> {
         let now = self.clock.now();
+        let own = self.table_stamp(table, version);
         let state = self.state.borrow();
-        state
-            .peers
-            .with_newer_table(now, table, version, &self.zone)
+        state.peers.with_newer_table(now, table, own, &self.zone)
     }
 
-    /// Reports whether another entry has a change of a table after `version`.
+    /// Reports whether another entry has other rows of a table than this one, which knows it up to
+    /// `version`, at a later version.
     pub(crate) fn is_outdated(&self, table: TableKind, version: u64) -> bool {
         let now = self.clock.now();
-        self.state
-            .borrow()
-            .peers
-            .has_newer_table(now, table, version)
+        let own = self.table_stamp(table, version);
+        self.state.borrow().peers.has_newer_table(now, table, own)
     }
 
     /// Waits until another entry may have a newer table, or the readers may have changed.
--- a/crates/ebonylug-direct/src/follow.rs
+++ b/crates/ebonylug-direct/src/follow.rs
@@ -91,7 +91,7 @@
         true
     }
 
-    /// Reports whether another entry has a change of a table after `after`.
+    /// Reports whether another entry has other rows of a table than this one, at a version after `after`.
     fn is_outdated(&self, _: TableKind, _after: u64) -> bool {
         false
     }
@@ -156,6 +156,14 @@
     Delta(Vec<Row>),
 }
 
+impl TableUpdate {
+    /// Reports whether the update changes no rows.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        matches!(self, TableUpdate::Delta(rows) if rows.is_empty())
+    }
+}
+
 /// The initial delay after a failed read. It doubles with each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// The maximum delay after failed reads. It bounds how long the entry takes to notice that the store
@@ -327,7 +335,7 @@
         progress.version = Some(version);
         self.fallback.set_failing(self.kind, false);
         self.fallback.record(self.kind, &update, version);
-        if matches!(&update, TableUpdate::Delta(rows) if !rows.is_empty()) {
+        if !update.is_empty() {
             self.fallback.announce();
         }
         (update, timestamp)
@@ -355,8 +363,9 @@
         }
         let (TableUpdate::Snapshot(rows) | TableUpdate::Delta(rows)) = &update;
         let rows = rows.len();
-        // Other entries read for most entries, and each of their changes arrives this way.
-        if progress.failures > 0 || progress.version.is_none() {
+        // Other entries read for most entries, and each change of the targets arrives this way.
+        let frequent = self.kind == TableKind::Targets;
+        if progress.failures > 0 || progress.version.is_none() || !frequent {
             tracing::info!(
                 part = "store",
                 table = self.name,
--- a/crates/ebonylug-direct/src/instruments.rs
+++ b/crates/ebonylug-direct/src/instruments.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ebonylug_core::Name;
-use ebonylug_dispatch::RouteKind;
+use ebonylug_dispatch::{RouteKind, TableKind, TableState};
 use ebonylug_net::metrics::Metrics;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
@@ -19,6 +19,8 @@
     retries: Counter<u64>,
     store_calls: Counter<u64>,
     table_age: Gauge<f64>,
+    table_version: Gauge<u64>,
+    table_digest: Gauge<u64>,
     slots: Gauge<u64>,
     running: Gauge<u64>,
     waiting: Gauge<u64>,
@@ -48,6 +50,7 @@
     pub(crate) active: usize,
     pub(crate) config_version: u64,
     pub(crate) config_age: Option<Duration>,
+    pub(crate) tables: TableState,
     pub(crate) reachable: usize,
     pub(crate) known: usize,
     pub(crate) dropped: usize,
@@ -89,6 +92,14 @@
                 .f64_gauge("ebonylug_table_age_seconds")
                 .with_description("Time since the store answered a read, by table")
                 .build(),
+            table_version: gauge(
+                "ebonylug_table_version",
+                "A version of the store at which a table had the rows that this entry has",
+            ),
+            table_digest: gauge(
+                "ebonylug_table_digest",
+                "Digest of the rows of a table; entries with equal rows have equal digests",
+            ),
             slots: gauge("ebonylug_target_slots", "Slots of targets, by service"),
             running: gauge(
                 "ebonylug_target_requests",
@@ -190,6 +201,13 @@
             let labels = [KeyValue::new("table", *table)];
             self.table_age.record(age.as_secs_f64(), &labels);
         }
+        for table in TableKind::ALL {
+            let stamp = values.tables.stamp(table);
+            let labels = [KeyValue::new("table", table.as_str())];
+            self.table_version.record(stamp.version, &labels);
+            let digest = u32::from(stamp.digest);
+            self.table_digest.record(u64::from(digest), &labels);
+        }
         for (service, (slots, running)) in &values.services {
             let labels = [KeyValue::new("service", service.as_str().to_owned())];
             self.slots.record(u64::from(*slots), &labels);
--- a/crates/ebonylug-direct/src/peers.rs
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -164,8 +164,8 @@
         reachable.collect()
     }
 
-    /// Returns the addresses of entries that have a change of a table after `version`, those of this zone
-    /// first.
+    /// Returns the addresses of entries that have other rows of a table than this one, which knows it up to
+    /// `version`, at a later version. Those of this zone come first.
     pub(crate) fn peers_with_newer(
         &self,
         table: TableKind,
--- a/crates/ebonylug-direct/src/table_cache.rs
+++ b/crates/ebonylug-direct/src/table_cache.rs
@@ -13,7 +13,7 @@
 use bincode::Options;
 use bytes::Bytes;
 use ebonylug_core::Name;
-use ebonylug_dispatch::TableKind;
+use ebonylug_dispatch::{RowHash, RowSum, TableKind, TableStamp};
 use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use serde::{Deserialize, Serialize};
@@ -55,6 +55,7 @@
     /// The version of the oldest change that is known.
     base: u64,
     rows: BTreeMap<Box<str>, CachedRow>,
+    sum: RowSum,
     /// Removed rows, with the version of their removal.
     removed: BTreeMap<Box<str>, u64>,
 }
@@ -63,6 +64,7 @@
 struct CachedRow {
     value: Vec<u8>,
     version: u64,
+    hash: RowHash,
 }
 
 /// A message with a table, or its changes.
@@ -109,9 +111,8 @@
                 partial: false,
             },
             _ => {
-                let kind = [TableKind::Orders, TableKind::Targets]
-                    .into_iter()
-                    .find(|&kind| table_path(kind) == path)?;
+                let mut kinds = TableKind::ALL.into_iter();
+                let kind = kinds.find(|kind| kind.as_str() == path)?;
                 self.table(kind).borrow().newer(after)?
             }
         };
@@ -141,8 +142,7 @@
     /// Returns the addresses of entries that may have a newer table.
     fn sources(&self, table: TableKind, after: u64) -> SmallVec<[SocketAddr; 4]> {
         let newer = self.exchange.peers_with_newer(table, after);
-        // An entry that cannot read takes the rows of any other entry: the first rows that an entry reads
-        // are not announced.
+        // An entry that cannot read does not wait for a message that shows which entries have newer rows.
         if newer.is_empty() && (after == 0 || self.exchange.entry().is_failing(table)) {
             let peers = self.exchange.reachable_peers().into_iter();
             return peers.map(|(_, address)| address).collect();
@@ -151,14 +151,6 @@
     }
 }
 
-/// Returns the path of a table in calls between entries.
-fn table_path(kind: TableKind) -> &'static str {
-    match kind {
-        TableKind::Orders => "orders",
-        TableKind::Targets => "targets",
-    }
-}
-
 async fn fetch_from(
     addresses: impl IntoIterator<Item = SocketAddr>,
     path: &str,
@@ -211,6 +203,7 @@
         let rows = match update {
             TableUpdate::Snapshot(rows) => {
                 self.rows.clear();
+                self.sum = RowSum::default();
                 self.removed.clear();
                 self.base = version;
                 rows
@@ -221,11 +214,12 @@
             match value {
                 Some(value) => {
                     self.removed.remove(key);
-                    let value = value.clone();
-                    self.rows.insert(key.clone(), CachedRow { value, version });
+                    self.insert(key, value, version);
                 }
                 None => {
-                    self.rows.remove(key);
+                    if let Some(row) = self.rows.remove(key) {
+                        self.sum.remove(row.hash);
+                    }
                     self.removed.insert(key.clone(), version);
                 }
             }
@@ -235,20 +229,34 @@
             self.base = version;
         }
     }
+
+    fn insert(&mut self, key: &str, value: &[u8], version: u64) {
+        let row = CachedRow {
+            value: value.into(),
+            version,
+            hash: RowHash::new(key, value),
+        };
+        self.sum.add(row.hash);
+        if let Some(before) = self.rows.insert(key.into(), row) {
+            self.sum.remove(before.hash);
+        }
+    }
+
+    fn stamp(&self) -> TableStamp {
+        TableStamp {
+            version: self.version,
+            digest: self.sum.digest(),
+        }
+    }
 }
 
 impl Fallback for Rc<TableCache> {
     fn record(&self, table: TableKind, update: &TableUpdate, version: u64) {
         let mut cached = self.table(table).borrow_mut();
-        let first = cached.version == 0;
         cached.apply(update, version);
-        let changed = match update {
-            // The first rows are no change that others could have missed.
-            TableUpdate::Snapshot(_) => !first,
-            TableUpdate::Delta(rows) => !rows.is_empty(),
-        };
-        if changed {
-            self.exchange.entry().set_table_version(table, version);
+        // Without changed rows, the stamp remains valid, and a newer one would only be news to all peers.
+        if !update.is_empty() {
+            self.exchange.entry().set_table_stamp(table, cached.stamp());
         }
     }
 
@@ -262,7 +270,7 @@
 
     async fn fetch_newer(&self, table: TableKind, after: u64) -> Option<PeerTable> {
         let sources = self.sources(table, after);
-        let message = fetch_from(sources, table_path(table), after).await?;
+        let message = fetch_from(sources, table.as_str(), after).await?;
         let Rows { rows, version, .. } = message.rows;
         let update = if message.partial {
             TableUpdate::Delta(rows)
--- a/crates/ebonylug-direct/tests/table_cache.rs
+++ b/crates/ebonylug-direct/tests/table_cache.rs
@@ -186,10 +186,7 @@
 }
 
 /// Returns a follower of the targets at an entry.
-fn targets_follower(
-    cache: &Rc<TableCache>,
-    requested: &Rc<RefCell<Vec<u64>>>,
-) -> Follower<FailingFeed, Rc<TableCache>> {
+fn targets_follower<F: Feed>(cache: &Rc<TableCache>, feed: F) -> Follower<F, Rc<TableCache>> {
     let policy = PollPolicy {
         max_wait: Duration::from_secs(1),
         pause: Duration::ZERO,
@@ -199,7 +196,7 @@
     Follower {
         name: "servers",
         kind: TableKind::Targets,
-        feed: FailingFeed(Rc::clone(requested)),
+        feed,
         fallback: Rc::clone(cache),
         policy: Rc::new(Cell::new(policy)),
         clock: Arc::new(SystemClock),
@@ -266,8 +263,7 @@
         source_cache.record(TableKind::Targets, &TableUpdate::Snapshot(rows), 7);
         let updates = Rc::new(RefCell::new(Vec::new()));
         let recorded = Rc::clone(&updates);
-        let requested = Rc::default();
-        let follower = targets_follower(&other_cache, &requested);
+        let follower = targets_follower(&other_cache, FailingFeed(Rc::default()));
         spawn_local(follower.run(
             1,
             || None,
@@ -368,3 +364,78 @@
         after < 6
     }
 }
+
+/// A feed of an entry that other entries read for: all rows at version 5, and no answer to later reads.
+struct FirstRows;
+
+impl Feed for FirstRows {
+    async fn list(&self) -> Result<Rows> {
+        Ok(Rows {
+            rows: vec![row("kept", "1"), row("changed", "1"), row("removed", "1")],
+            version: 5,
+            clock: Duration::ZERO,
+        })
+    }
+
+    async fn changes(&self, _: u64, _: Duration) -> Result<Rows> {
+        std::future::pending().await
+    }
+}
+
+/// Guards against a change that is lost for good because it was written while the entries that read the store
+/// restarted, so that it is part of their first rows: entries that kept running went on sending to an
+/// availability zone that the operator had drained, and to engines that had left.
+#[test]
+fn a_change_in_the_first_rows_of_restarted_readers_reaches_the_others() {
+    for kind in [TableKind::Orders, TableKind::Targets] {
+        run(async move {
+            let entries = [
+                start("entry-1").await,
+                start("entry-2").await,
+                start("entry-3").await,
+            ];
+            for (harness, _, _) in &entries {
+                for (_, exchange, _) in &entries {
+                    let address = exchange_of(&entries, harness);
+                    exchange.add_peer(harness.entry.name().clone(), address);
+                }
+            }
+            wait_until("all entries can reach each other", || {
+                let mut entries = entries.iter();
+                entries.all(|(harness, _, _)| harness.entry.reachable_entries() == 3)
+            })
+            .await;
+            let (readers, others): (Vec<_>, Vec<_>) =
+                entries.iter().partition(|(_, _, cache)| cache.is_reader());
+            let [(_, _, other)] = others[..] else {
+                panic!("one of three entries of a zone does not read");
+            };
+            let updates = Rc::new(RefCell::new(Vec::new()));
+            let recorded = Rc::clone(&updates);
+            let follower = Follower {
+                kind,
+                ..targets_follower(other, FirstRows)
+            };
+            spawn_local(follower.run(
+                1,
+                || None,
+                move |update, _| recorded.borrow_mut().push(update),
+            ));
+            wait_until("the entry has its first rows", || {
+                !updates.borrow().is_empty()
+            })
+            .await;
+
+            // The caches of the readers are empty, as in processes that have just started.
+            let first_rows = vec![row("kept", "1"), row("changed", "2"), row("added", "1")];
+            let first_rows = TableUpdate::Snapshot(first_rows);
+            for (_, _, cache) in readers {
+                cache.record(kind, &first_rows, 9);
+                cache.announce();
+            }
+            wait_until("the change arrives", || updates.borrow().len() > 1).await;
+            let expected = vec![row("added", "1"), row("changed", "2"), row("kept", "1")];
+            assert_eq!(updates.borrow()[1], TableUpdate::Snapshot(expected));
+        });
+    }
+}
--- a/crates/ebonylug-dispatch/src/hash.rs
+++ b/crates/ebonylug-dispatch/src/hash.rs
@@ -3,9 +3,17 @@
 /// Gossip messages identify targets and organisations by this hash to save space.
 #[must_use]
 pub fn stable_hash(text: &str) -> u64 {
-    let hash = blake3::hash(text.as_bytes());
+    stable_hash_bytes(&[text.as_bytes()])
+}
+
+/// Hashes the concatenation of some bytes to 64 bits, with the same result in all processes and builds.
+pub(crate) fn stable_hash_bytes(parts: &[&[u8]]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(part);
+    }
     let mut first = [0; 8];
-    first.copy_from_slice(&hash.as_bytes()[..8]);
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
     u64::from_le_bytes(first)
 }
 
--- a/crates/ebonylug-dispatch/src/overview.rs
+++ b/crates/ebonylug-dispatch/src/overview.rs
@@ -2,6 +2,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gossip::RolloutStatus;
+use crate::readers::TableState;
 
 /// The state of an entry, as shown to operators.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +17,9 @@
     pub config: u64,
     /// Time since that version was last known to be current, in milliseconds.
     pub config_age: Option<u64>,
+    /// The rows of the platform's tables that the entry has. Entries with different digests have different
+    /// rows.
+    pub tables: TableState,
     /// Number of reachable entries, including this one.
     #[serde(rename = "heard")]
     pub reachable: usize,
--- a/crates/ebonylug-dispatch/src/readers.rs
+++ b/crates/ebonylug-dispatch/src/readers.rs
@@ -5,6 +5,11 @@
 //! entries of each availability zone read, and the others fetch changes from them. All entries rank the
 //! entries of their zone by the same hash, so the choice needs no election: when a reader is lost, or
 //! reports that the store does not answer it, the next one reads.
+//!
+//! A change is not told once, when it is read: a reader that restarts finds it in its first rows and
+//! cannot know that others lack it. Instead, each message between entries carries a [`TableStamp`] of
+//! the rows that its sender has. An entry whose digest differs from that of a later version fetches the
+//! rows, whichever messages were lost before.
 
 use std::time::Instant;
 
@@ -14,6 +19,7 @@
 
 use crate::gossip::Peers;
 use crate::hash::stable_hash;
+use crate::table_digest::TableDigest;
 
 /// Entries of a zone that read the tables. If the reads of one of them hang, the other one still gets
 /// each change.
@@ -28,29 +34,61 @@
     Targets,
 }
 
+impl TableKind {
+    /// All tables.
+    pub const ALL: [TableKind; 2] = [TableKind::Orders, TableKind::Targets];
+
+    /// Returns the name of the table in calls between entries and in metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            TableKind::Orders => "orders",
+            TableKind::Targets => "targets",
+        }
+    }
+}
+
+/// Identifies the rows of a table that an entry has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableStamp {
+    /// A version of the store at which the table had these rows; 0 without rows.
+    pub version: u64,
+    /// The digest of the rows.
+    pub digest: TableDigest,
+}
+
+impl TableStamp {
+    /// Reports whether `other` stands for rows that replace these. A later version with equal rows does
+    /// not.
+    #[must_use]
+    pub fn is_replaced_by(self, other: TableStamp) -> bool {
+        other.version > self.version && other.digest != self.digest
+    }
+}
+
 /// What an entry knows of the tables.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableState {
-    /// The version of the last change of the orders that the entry has.
-    pub orders: u64,
-    /// The version of the last change of the targets that the entry has.
-    pub targets: u64,
+    /// The orders that the entry has.
+    pub orders: TableStamp,
+    /// The targets that the entry has.
+    pub targets: TableStamp,
     /// Whether the store did not answer the entry's last reads.
     pub failing: bool,
 }
 
 impl TableState {
-    /// Returns the version of the last known change of a table.
+    /// Returns the stamp of a table.
     #[must_use]
-    pub fn version(&self, table: TableKind) -> u64 {
+    pub fn stamp(&self, table: TableKind) -> TableStamp {
         match table {
             TableKind::Orders => self.orders,
             TableKind::Targets => self.targets,
         }
     }
 
-    /// Returns the version of the last known change of a table.
-    pub fn version_mut(&mut self, table: TableKind) -> &mut u64 {
+    /// Returns the stamp of a table.
+    pub fn stamp_mut(&mut self, table: TableKind) -> &mut TableStamp {
         match table {
             TableKind::Orders => &mut self.orders,
             TableKind::Targets => &mut self.targets,
@@ -74,25 +112,26 @@
         before.count() < READERS_PER_ZONE
     }
 
-    /// Reports whether a reachable entry has a change of a table after `version`.
+    /// Reports whether a reachable entry has rows of a table that replace those with the stamp `own`.
     #[must_use]
-    pub fn has_newer_table(&self, now: Instant, table: TableKind, version: u64) -> bool {
+    pub fn has_newer_table(&self, now: Instant, table: TableKind, own: TableStamp) -> bool {
         self.reachable(now)
-            .any(|(_, peer)| peer.tables.version(table) > version)
+            .any(|(_, peer)| own.is_replaced_by(peer.tables.stamp(table)))
     }
 
-    /// Returns reachable entries that have a change of a table after `version`, those of `zone` first.
+    /// Returns reachable entries that have rows of a table that replace those with the stamp `own`, the
+    /// entries of `zone` first.
     #[must_use]
     pub fn with_newer_table(
         &self,
         now: Instant,
         table: TableKind,
-        version: u64,
+        own: TableStamp,
         zone: &Name,
     ) -> SmallVec<[Name; 4]> {
         let mut names: SmallVec<[(bool, u64, &Name); 8]> = self
             .reachable(now)
-            .filter(|(_, peer)| peer.tables.version(table) > version)
+            .filter(|(_, peer)| own.is_replaced_by(peer.tables.stamp(table)))
             .map(|(name, peer)| (peer.zone != *zone, stable_hash(name.as_str()), name))
             .collect();
         names.sort_unstable();
