--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -21,6 +21,9 @@
 use crate::settings::SchedulerSettings;
 use crate::target::{PeerLoad, Target, TargetKey, TargetRecord, TargetState};
 
+/// The longest time for which a target counts as cold after one report. A faulty target may report any time.
+const MAX_COLD_TIME: Duration = Duration::from_secs(3_600);
+
 /// A request to be placed on a target.
 #[derive(Clone, Debug)]
 pub struct PlacementRequest {
@@ -221,7 +224,7 @@
         let Some(&(rate, default_time)) = self.cold_rates.get(&record.info.service) else {
             return;
         };
-        let until = now + time.unwrap_or(default_time);
+        let until = now + time.unwrap_or(default_time).min(MAX_COLD_TIME);
         match &mut record.cold {
             Some(cold) if cold.until() > now => cold.extend(until),
             cold => {
@@ -236,7 +239,7 @@
         let Some(record) = self.targets.get_mut(key).filter(|_| !time.is_zero()) else {
             return;
         };
-        record.cold_report = Some(now + time);
+        record.cold_report = Some(now + time.min(MAX_COLD_TIME));
         self.limit_cold_rate(now, key, Some(time));
     }
 
--- a/crates/ebonylug-dispatch/src/shared_rate.rs
+++ b/crates/ebonylug-dispatch/src/shared_rate.rs
@@ -3,6 +3,8 @@
 /// Share of a rate that all entries use together. Requests sent within different seconds may arrive
 /// within the same one.
 const USED_SHARE: f64 = 0.8;
+/// The longest time between two sends of one entry. Longer ones overflow when they are added to a time.
+const MAX_INTERVAL: Duration = Duration::from_secs(24 * 3_600);
 
 /// One entry's equal share of a maximum rate of requests to a target. The shares add up to the rate without
 /// coordination.
@@ -36,7 +38,9 @@
 
     /// Reports whether this entry may send a request now, if `entries` share the rate.
     pub(crate) fn allows_send(&self, now: Instant, entries: usize) -> bool {
-        let interval = Duration::from_secs_f64(entries.max(1) as f64 / (self.rate * USED_SHARE));
+        let seconds = entries.max(1) as f64 / (self.rate * USED_SHARE);
+        let interval = Duration::try_from_secs_f64(seconds);
+        let interval = interval.unwrap_or(MAX_INTERVAL).min(MAX_INTERVAL);
         let next_send = match self.last_send {
             Some(time) => time + interval,
             None => self.started + interval.mul_f64(self.phase),
--- a/crates/ebonylug-dispatch/tests/scheduler.rs
+++ b/crates/ebonylug-dispatch/tests/scheduler.rs
@@ -452,3 +452,40 @@
         assert_eq!(chosen.as_ref(), Some(&best), "seed {seed}");
     }
 }
+
+/// Guards against a cold time that no clock can add, which ends the task that applies it, and against one that
+/// limits a target for good.
+#[test]
+fn a_target_is_cold_for_an_hour_at_most() {
+    let start = Instant::now();
+    for time in [Duration::MAX, Duration::from_secs(u64::MAX / 2)] {
+        let mut scheduler = scheduler(1);
+        scheduler.set_cold_limit(Name::new("pool"), 10.0, time);
+        let key = scheduler.put_target(
+            start,
+            Target {
+                cold: time,
+                ..target(0)
+            },
+        );
+        scheduler.mark_cold(start, key, time);
+        assert_eq!(
+            fill(&mut scheduler, start + Duration::from_secs(1), 0).len(),
+            1
+        );
+        let later = start + Duration::from_secs(3_601);
+        assert!(fill(&mut scheduler, later, 0).len() > 1);
+    }
+}
+
+/// Guards against a rate so low that no clock can add the time between two requests.
+#[test]
+fn a_tiny_cold_rate_stops_requests() {
+    let start = Instant::now();
+    let mut scheduler = scheduler(1);
+    scheduler.set_cold_limit(Name::new("pool"), f64::MIN_POSITIVE, Duration::from_secs(3));
+    let cold = Duration::from_secs(3);
+    scheduler.put_target(start, Target { cold, ..target(0) });
+    assert!(fill(&mut scheduler, start, 0).is_empty());
+    assert!(!fill(&mut scheduler, start + cold, 0).is_empty());
+}
