Bound the time for which idle connections to targets are kept

Callers would see: no answer to a request that ran, if the engine announces a Keep-Alive time near the limit of its type.

Cause: adding the announced time to the current time panics while the connection is returned to the pool.

Change: the time is bounded to five minutes.

--- a/crates/ebonylug-direct/src/pool.rs
+++ b/crates/ebonylug-direct/src/pool.rs
@@ -29,6 +29,8 @@
 const MAX_PROBES: u32 = 2;
 /// How long an idle connection is kept if the target's response has no `keep-alive` timeout.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_millis(1_500);
+/// The longest time for which an idle connection is kept. A faulty target may announce any time.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(300);
 /// Fraction of the target's `keep-alive` timeout for which an idle connection is kept.
 const IDLE_FRACTION: f64 = 0.6;
 /// The largest read buffer of a connection, which also limits the size of one head.
@@ -220,7 +222,10 @@
         fields.find_map(|field| field.strip_prefix("timeout=")?.parse::<u64>().ok())
     });
     match announced {
-        Some(seconds) => Duration::from_secs(seconds).mul_f64(IDLE_FRACTION),
+        Some(seconds) => {
+            let time = Duration::from_secs(seconds).mul_f64(IDLE_FRACTION);
+            time.min(MAX_IDLE_TIME)
+        }
         None => DEFAULT_IDLE_TIME,
     }
 }
