Answer requests that are open at the end of the grace period

Callers saw, in a report of other operators: requests that came late in a planned stop were cut with no answer, also those that may not be repeated.

Cause: the stop waited for open requests until 0.6 s before the end of the grace and then returned whether any were left. With a grace of 2.5 s or less it returned while connections were still accepted.

Change: at that time each open request is answered: 503 if it was sent to no target, 504 otherwise; the stop waits up to 0.3 s until these are written. New connections are accepted for a third of the grace at most.

--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -11,7 +11,7 @@
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 
 use crate::dialect::Dialect;
 use crate::instruments::Instruments;
@@ -78,6 +78,8 @@
     /// The total size of the responses held in memory, as [`ResponseLimits::memory`] counts it.
     pub(crate) response_bytes: Cell<usize>,
     pub(crate) stopping: Cell<bool>,
+    /// Whether requests that are still open get their final answer, because the grace period ends.
+    pub(crate) ending: watch::Sender<bool>,
     /// Whether the entry has stopped serving requests.
     pub(crate) stopped: Cell<bool>,
     /// The number of requests in progress.
@@ -148,6 +150,7 @@
             body_bytes: Cell::new(0),
             response_bytes: Cell::new(0),
             stopping: Cell::new(false),
+            ending: watch::Sender::new(false),
             stopped: Cell::new(false),
             active: Cell::new(0),
             checked: RefCell::default(),
@@ -436,6 +439,15 @@
         served.is_multiple_of(LOG_SAMPLE_RATE)
     }
 
+    /// Waits until the grace period of a planned stop ends.
+    pub(crate) async fn grace_end(&self) {
+        let mut ending = self.ending.subscribe();
+        if ending.wait_for(|&ending| ending).await.is_err() {
+            // The sender is a field of this entry, so it outlives the borrow.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Returns a number that changes with each request that is sent or completes.
     pub(crate) fn load_version(&self) -> u64 {
         self.state.borrow().scheduler.load_version()
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -17,6 +17,7 @@
 use crate::attempt::{self, Failure, OpenResponse};
 use crate::entry::{Entry, millis};
 use crate::head_timeout::HeadState;
+use crate::quota_charge::QuotaCharge;
 use crate::request::{self, BufferedRequest};
 use crate::response::{self, CallerResponse, HandlerResult, Rejection};
 use crate::stream::EventStream;
@@ -44,6 +45,8 @@
 /// Retry delay for a quarantined request. It is long because a quarantine does not clear by
 /// itself.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
+/// Retry delay at an entry that stops. Another entry can serve the request at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Retry delay if the targets reported that they did not run the request. Usually another target has a free slot.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -170,7 +173,10 @@
     if matched.organisation.is_some() && !fresh {
         return Err(refuse(Reason::Stale, STALE_RETRY_AFTER));
     }
-    let request = request::read(entry, &config, parts, body, matched).await?;
+    let request = tokio::select! {
+        request = request::read(entry, &config, parts, body, matched) => request?,
+        () = entry.grace_end() => return Err(refuse(Reason::Stopping, STOPPING_RETRY_AFTER)),
+    };
     if entry.is_quarantined(&request.causes) {
         return Err(refuse(Reason::Quarantined, QUARANTINE_RETRY_AFTER));
     }
@@ -180,7 +186,7 @@
     let model = config
         .service(service.as_str())
         .is_some_and(|s| s.slots > 0);
-    let quota = take_quota(entry, &request)?;
+    let quota = QuotaCharge::take(entry, &request)?;
     let mut job = ForwardJob {
         entry: Rc::clone(entry),
         request,
@@ -195,7 +201,12 @@
         finished: Cell::new(false),
         _active: active,
     };
-    let result = job.run().await;
+    let result = tokio::select! {
+        // The end of other requests frees slots, which must not be used any more.
+        biased;
+        () = entry.grace_end() => Err(job.abandon()),
+        result = job.run() => result,
+    };
     context.attempts = job.tried.len();
     job.finished
         .set(!matches!(result, Ok(TargetResponse::Stream(..))));
@@ -237,46 +248,6 @@
     response
 }
 
-fn take_quota(
-    entry: &Rc<Entry>,
-    request: &BufferedRequest,
-) -> request::Result<Option<QuotaCharge>> {
-    let Some(organisation) = &request.organisation else {
-        return Ok(None);
-    };
-    let tokens = match request.token_counts(&entry.dialect) {
-        Some((prompt, output)) => (prompt + output) as f64,
-        None => f64::from(organisation.default_tokens),
-    };
-    let name = organisation.name.clone();
-    entry
-        .take_quota(&name, tokens, request.rank())
-        .map_err(Rejection::Refused)?;
-    Ok(Some(QuotaCharge {
-        entry: Rc::clone(entry),
-        organisation: name,
-        tokens,
-        used: Cell::new(false),
-    }))
-}
-
-/// Tokens taken from an organisation's quota. Dropping it refunds them if the request was sent to no
-/// target.
-struct QuotaCharge {
-    entry: Rc<Entry>,
-    organisation: Name,
-    tokens: f64,
-    used: Cell<bool>,
-}
-
-impl Drop for QuotaCharge {
-    fn drop(&mut self) {
-        if !self.used.get() {
-            self.entry.refund_quota(&self.organisation, self.tokens);
-        }
-    }
-}
-
 /// A request that is being forwarded, with the state of its attempts.
 pub(crate) struct ForwardJob {
     pub(crate) entry: Rc<Entry>,
@@ -381,6 +352,15 @@
         }
     }
 
+    /// Returns the answer to a request that is still open when the grace period ends.
+    fn abandon(&self) -> Rejection {
+        let ended = self.ran + self.not_run;
+        if self.ran == 0 && self.tried.len() == ended as usize {
+            return refuse(Reason::Stopping, STOPPING_RETRY_AFTER);
+        }
+        Rejection::Unknown(StatusCode::GATEWAY_TIMEOUT, "stopping")
+    }
+
     /// Makes attempts until one returns a complete response or starts a stream.
     async fn send_until_response(&mut self) -> request::Result<TargetResponse> {
         loop {
@@ -401,7 +381,7 @@
             if let Some(quota) = &self.quota {
                 // The request is charged even if the target reports that it did not run it. The
                 // charge only delays the caller's next request slightly.
-                quota.used.set(true);
+                quota.mark_used();
             }
             let result = match attempt::open(&self.entry, &self.request, slot, None).await {
                 Ok(opened) => self.read_response(opened).await,
--- a/crates/ebonylug-direct/src/lib.rs
+++ b/crates/ebonylug-direct/src/lib.rs
@@ -34,6 +34,7 @@
 mod moves;
 pub mod peers;
 mod pool;
+mod quota_charge;
 mod read_limits;
 mod request;
 mod response;
--- a/crates/ebonylug-direct/src/server.rs
+++ b/crates/ebonylug-direct/src/server.rs
@@ -33,8 +33,14 @@
 /// Time after the stop signal in which the load balancer may still send new connections: two health
 /// checks one second apart, plus the time to establish a connection.
 const DEREGISTRATION_TIME: Duration = Duration::from_millis(2_500);
-/// Time before the end of the grace period at which draining stops.
+/// Part of a short grace period in which the load balancer may still send new connections.
+const MAX_DEREGISTRATION_SHARE: u32 = 3;
+/// Time before the end of the grace period at which requests that are still open get their final answer.
 const GRACE_MARGIN: Duration = Duration::from_millis(600);
+/// Time for which the stop then waits until these answers are written.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Interval at which a stop checks whether requests are open.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Opens a TCP listener.
 ///
@@ -183,19 +189,35 @@
 }
 
 /// Shuts down gracefully: fails the health check at once, then closes the listener, then waits for
-/// open requests until the grace period is nearly over.
+/// open requests. Those that are still open when the grace period is nearly over are answered: refused, if
+/// they were sent to no target.
 pub async fn stop(entry: Rc<Entry>, closed: watch::Sender<bool>) {
     let started = tokio::time::Instant::now();
     entry.stopping.set(true);
     tracing::info!(part = "server", active = entry.active.get(), "stopping");
-    tokio::time::sleep(DEREGISTRATION_TIME).await;
+    let grace = entry.bounds.get().grace;
+    tokio::time::sleep(DEREGISTRATION_TIME.min(grace / MAX_DEREGISTRATION_SHARE)).await;
     let _ = closed.send(true);
-    let end = started + entry.bounds.get().grace.saturating_sub(GRACE_MARGIN);
-    while entry.active.get() > 0 && tokio::time::Instant::now() < end {
-        tokio::time::sleep(Duration::from_millis(20)).await;
+    let end = started + grace.saturating_sub(GRACE_MARGIN);
+    wait_until_idle(&entry, end).await;
+    if entry.active.get() > 0 {
+        tracing::warn!(
+            part = "server",
+            active = entry.active.get(),
+            "requests are open at the end of the grace"
+        );
+        entry.ending.send_replace(true);
+        wait_until_idle(&entry, end + FINAL_ANSWER_TIME).await;
     }
     // The tasks that write the last bytes of responses may not have run yet.
     tokio::time::sleep(Duration::from_millis(50)).await;
     entry.stopped.set(true);
     tracing::info!(part = "server", active = entry.active.get(), "stopped");
 }
+
+/// Waits until no request is open, or until `end`.
+async fn wait_until_idle(entry: &Entry, end: tokio::time::Instant) {
+    while entry.active.get() > 0 && tokio::time::Instant::now() < end {
+        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/ebonylug-direct/tests/stop.rs
@@ -0,0 +1,85 @@
+//! Tests of a planned stop while requests are open.
+
+mod common;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::{Harness, ScriptedTarget, Step, get, read_response, run, status, wait_until};
+use ebonylug_direct::{Bounds, server};
+use ebonylug_dispatch::Target;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+
+/// A short grace, which leaves less than two seconds between the close of the listener and the end.
+const GRACE: Duration = Duration::from_millis(3_600);
+
+/// Sends a request on a connection that was opened before, and records the answer.
+fn send(mut stream: TcpStream, request: &str, answers: &Rc<RefCell<Vec<String>>>) {
+    let (request, answers) = (request.to_owned(), Rc::clone(answers));
+    spawn_local(async move {
+        let sent = stream.write_all(request.as_bytes()).await;
+        sent.expect("send the request");
+        let answer = read_response(&mut stream).await;
+        answers.borrow_mut().push(answer);
+    });
+}
+
+/// Starts an entry with a short grace and one target with one slot.
+async fn start(target: &ScriptedTarget) -> Harness {
+    let harness = Harness::start(&[target]).await;
+    harness.entry.set_bounds(Bounds {
+        grace: GRACE,
+        ..harness.bounds
+    });
+    let target = Target {
+        slots: 1,
+        ..target.target()
+    };
+    harness.entry.set_targets(vec![target]);
+    harness
+}
+
+/// Guards against a stop that cuts requests off with no answer at the end of the grace, among them requests
+/// that may not be repeated: they were taken late, and sent to a target or left waiting for one.
+#[test]
+fn requests_that_are_open_at_the_end_of_the_grace_get_an_answer() {
+    run(async {
+        let target = ScriptedTarget::start("engine-1", vec![Step::Hang(String::new())]).await;
+        let harness = start(&target).await;
+        let answers = Rc::default();
+        let mut late = Vec::new();
+        for _ in 0..30 {
+            late.push(harness.connect().await);
+        }
+        send(harness.connect().await, &get("once", "early"), &answers);
+        wait_until("the target has the request", || target.request_count() == 1).await;
+        let Harness { entry, close, .. } = harness;
+        let stop = spawn_local(server::stop(Rc::clone(&entry), close));
+        tokio::time::sleep(GRACE / 4).await;
+        let sent = late.len() + 1;
+        for (number, stream) in late.into_iter().enumerate() {
+            let route = ["once", "safe", "stream"][number % 3];
+            let request = get(route, &format!("late-{number}"));
+            let request = match number {
+                // A body is announced and does not arrive.
+                0 => request.replace("\r\n\r\n", "\r\ncontent-length: 9\r\n\r\n"),
+                _ => request,
+            };
+            send(stream, &request, &answers);
+        }
+        stop.await.expect("stop the entry");
+
+        // The process exits now.
+        let answers = answers.borrow();
+        assert_eq!(answers.len(), sent, "requests without an answer");
+        for answer in answers.iter() {
+            assert!([503, 504].contains(&status(answer)), "{answer}");
+        }
+        let refused = answers.iter().filter(|answer| status(answer) == 503);
+        // A refusal promises that the request has not run.
+        assert_eq!(refused.count(), sent - target.request_count());
+    });
+}
--- a/crates/ebonylug-dispatch/src/refusal.rs
+++ b/crates/ebonylug-dispatch/src/refusal.rs
@@ -19,6 +19,8 @@
     Rejected,
     /// Requests with the same content have crashed the targets that ran them.
     Quarantined,
+    /// The entry stops before the request could be sent to a target.
+    Stopping,
 }
 
 impl Reason {
@@ -34,6 +36,7 @@
             Reason::Memory => "memory",
             Reason::Rejected => "rejected",
             Reason::Quarantined => "quarantined",
+            Reason::Stopping => "stopping",
         }
     }
 }
