Stop sending to targets that leave or want a pause

An engine that leaves says so in its answers, and an engine that turns a request away with 503 may name a time in which it wants no requests. Neither was read, so an entry that the store or its row told nothing went on sending.

Change: the notices are kept by name and start of the target. They end with its next start or with the time of the pause, not with its row, which may be removed and listed again. Odd times are ignored with a log line or bounded to an hour. They are not told to other entries. A request is refused with the time of the first return if all targets are paused for longer than it may wait.

--- a/crates/ebonylug-direct/src/attempt.rs
+++ b/crates/ebonylug-direct/src/attempt.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::entry::Entry;
+use crate::notices;
 use crate::pool::{Error, PooledConnection};
 use crate::read_limits::{BodyBuffer, ResponseLimits};
 use crate::request::{BufferedRequest, header_number};
@@ -118,6 +119,7 @@
         ));
     }
     record_limit(entry, target, &head);
+    notices::record(entry, &info, &head);
     let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
     if misdirected || head.headers.contains_key(&dialect.not_run) {
         slot.set_outcome(if misdirected {
--- a/crates/ebonylug-direct/src/dialect.rs
+++ b/crates/ebonylug-direct/src/dialect.rs
@@ -24,6 +24,8 @@
     pub not_run: HeaderName,
     /// In responses of targets: how long the target stays cold, in milliseconds.
     pub cold_time: HeaderName,
+    /// In responses of targets: `1` if the target is about to stop.
+    pub leaving: HeaderName,
     /// In responses of targets: the requests per second that the target accepts from all entries together,
     /// as a decimal number. A response without it states that there is no limit.
     pub rate_limit: HeaderName,
--- a/crates/ebonylug-direct/src/lib.rs
+++ b/crates/ebonylug-direct/src/lib.rs
@@ -32,6 +32,7 @@
 mod head_timeout;
 mod instruments;
 mod moves;
+mod notices;
 pub mod peers;
 mod pool;
 mod quota_charge;
--- a/crates/ebonylug-direct/src/state.rs
+++ b/crates/ebonylug-direct/src/state.rs
@@ -71,6 +71,7 @@
 
     /// Adds or updates a target.
     pub(crate) fn put_target(&mut self, now: Instant, target: Target) {
+        let target = self.scheduler.with_notices(target);
         let current = self.scheduler.find(&target.name).cloned();
         if current
             .as_ref()
--- a/crates/ebonylug-direct/tests/common/mod.rs
+++ b/crates/ebonylug-direct/tests/common/mod.rs
@@ -48,6 +48,7 @@
         signature: name("x-signature"),
         not_run: name("x-not-run"),
         cold_time: name("x-cold"),
+        leaving: name("x-leaving"),
         rate_limit: name("x-limit"),
         reserved: vec![name("x-reserved")],
         ready_path: "/ready".into(),
--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -47,6 +47,7 @@
 mod shared_rate;
 mod table_digest;
 mod target;
+mod target_notices;
 mod version_latency;
 
 pub use budget::{RetryBudget, RetryRule};
--- a/crates/ebonylug-dispatch/src/overview.rs
+++ b/crates/ebonylug-dispatch/src/overview.rs
@@ -50,7 +50,8 @@
     pub zone: Box<str>,
     /// The version of its software.
     pub version: Box<str>,
-    /// `serving`, `leaving`, `resting` while it is unhealthy, or `drained` together with its zone.
+    /// `serving`, `leaving`, `paused` at its own request, `resting` while it is unhealthy, or `drained` together
+    /// with its zone.
     pub state: Box<str>,
     /// Requests of this entry in flight at the target.
     pub own: u32,
--- a/crates/ebonylug-dispatch/src/refusal.rs
+++ b/crates/ebonylug-dispatch/src/refusal.rs
@@ -19,6 +19,8 @@
     Rejected,
     /// Requests with the same content have crashed the targets that ran them.
     Quarantined,
+    /// All targets have asked for no requests for longer than the request may wait.
+    Paused,
     /// The entry stops before the request could be sent to a target.
     Stopping,
 }
@@ -36,6 +38,7 @@
             Reason::Memory => "memory",
             Reason::Rejected => "rejected",
             Reason::Quarantined => "quarantined",
+            Reason::Paused => "paused",
             Reason::Stopping => "stopping",
         }
     }
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -1,4 +1,5 @@
 mod loads;
+mod notices;
 
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -20,6 +21,7 @@
 use crate::rollout::VersionFilter;
 use crate::settings::SchedulerSettings;
 use crate::target::{PeerLoad, Target, TargetKey, TargetRecord, TargetState};
+use crate::target_notices::TargetNotices;
 
 /// The longest time for which a target counts as cold after one report. A faulty target may report any time.
 const MAX_COLD_TIME: Duration = Duration::from_secs(3_600);
@@ -81,6 +83,7 @@
     prompts: PromptLocations,
     pacers: HashMap<Name, Pacer>,
     owners: Owners,
+    notices: TargetNotices,
     entries: usize,
     delay: Duration,
     random_state: u64,
@@ -103,6 +106,7 @@
             prompts: PromptLocations::default(),
             pacers: HashMap::new(),
             owners: Owners::default(),
+            notices: TargetNotices::default(),
             entries: 1,
             delay: Duration::ZERO,
             random_state: seed,
@@ -151,6 +155,8 @@
 
     /// Adds a target or updates an existing one of the same name.
     pub fn put_target(&mut self, now: Instant, info: Target) -> TargetKey {
+        let info = self.with_notices(info);
+        let paused_until = self.pause_end(&info);
         let cold = info.cold;
         let key = match self.names.get(&info.name) {
             Some(&key) if self.targets[key].info.service == info.service => {
@@ -162,6 +168,7 @@
                     record.limit = NamedLimit::default();
                     record.pace = None;
                 }
+                record.paused_until = paused_until;
                 record.info = info;
                 key
             }
@@ -181,6 +188,7 @@
                     cold: None,
                     cold_report: None,
                     limit: NamedLimit::default(),
+                    paused_until,
                     pace: None,
                     pace_measured: None,
                 });
@@ -248,6 +256,9 @@
         if !self.has_target(&request) {
             return Placement::Refuse(self.refusal(Reason::NoTarget, Duration::from_millis(400)));
         }
+        if let Some(refusal) = self.refuse_paused(now, &request) {
+            return Placement::Refuse(refusal);
+        }
         if self
             .queue
             .count_ahead(request.service.as_str(), request.rank)
--- a/crates/ebonylug-dispatch/src/target.rs
+++ b/crates/ebonylug-dispatch/src/target.rs
@@ -81,6 +81,8 @@
     pub(crate) cold_report: Option<Instant>,
     /// The limit on requests that the target names.
     pub(crate) limit: NamedLimit,
+    /// The time until which the target has asked this entry for no requests.
+    pub(crate) paused_until: Option<Instant>,
     /// Mean time per unit of work, in seconds; `None` before the first sample.
     pub(crate) pace: Option<f64>,
     /// Time of the last pace sample.
@@ -107,6 +109,7 @@
         let state = match self.info.state {
             TargetState::Leaving => "leaving",
             TargetState::Serving if drained => "drained",
+            TargetState::Serving if self.is_paused(now) => "paused",
             TargetState::Serving if self.health.is_unhealthy() || self.health.is_ejected(now) => {
                 "resting"
             }
@@ -154,6 +157,11 @@
         *mean += (pace - *mean) * PACE_WEIGHT;
     }
 
+    /// Reports whether the target has asked this entry for no requests now.
+    pub(crate) fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|until| now < until)
+    }
+
     /// Reports whether the target may get a request now, apart from its load, if `entries` share it. This
     /// entry's own evidence takes precedence over peers that report the target as unhealthy.
     pub(crate) fn accepts_requests(&self, now: Instant, entries: usize) -> bool {
@@ -161,7 +169,7 @@
         let available = !self.health.is_ejected(now) && (own_evidence || self.peers.unhealthy == 0);
         let probe_allowed = !self.health.is_unhealthy() || self.requests == 0;
         let warm = self.cold.is_none_or(|cold| cold.allows_send(now, entries));
-        let within_limit = self.limit.allows_send(now, entries);
+        let within_limit = self.limit.allows_send(now, entries) && !self.is_paused(now);
         self.info.state == TargetState::Serving
             && available
             && probe_allowed
--- a/crates/ebonylugctl/tests/state.rs
+++ b/crates/ebonylugctl/tests/state.rs
@@ -40,6 +40,7 @@
         signature: name.clone(),
         not_run: name.clone(),
         cold_time: name.clone(),
+        leaving: name.clone(),
         rate_limit: name,
         reserved: Vec::new(),
         ready_path: "/ready".into(),
