Wait in a planned stop until answers are written

Cause: a request counted as open until its response was handed to hyper, which writes it later.

Change: the stop waits until no connection of a caller is open, until the same end as before. Idle connections close when the listener closes. The fixed delay of 50 ms for the last bytes is gone.

--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -84,6 +84,8 @@
     pub(crate) stopped: Cell<bool>,
     /// The number of requests in progress.
     pub(crate) active: Cell<usize>,
+    /// The number of open connections of callers.
+    pub(crate) connections: Cell<usize>,
     /// Targets that are being checked for a crash.
     pub(crate) checked: RefCell<HashSet<TargetKey>>,
     /// The number of requests served in time.
@@ -153,6 +155,7 @@
             ending: watch::Sender::new(false),
             stopped: Cell::new(false),
             active: Cell::new(0),
+            connections: Cell::new(0),
             checked: RefCell::default(),
             served: Cell::new(0),
             state: RefCell::new(state),
--- a/crates/ebonylug-direct/src/server.rs
+++ b/crates/ebonylug-direct/src/server.rs
@@ -64,7 +64,8 @@
             stream = accept(&listener) => stream,
             _ = stop.wait_for(|&closed| closed) => return,
         };
-        tokio::task::spawn_local(connection(Rc::clone(&entry), stream, stop.clone()));
+        let open = ConnectionGuard::new(&entry);
+        tokio::task::spawn_local(connection(open, stream, stop.clone()));
     }
 }
 
@@ -81,7 +82,24 @@
     }
 }
 
-async fn connection(entry: Rc<Entry>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+/// Counts a caller's connection as open until the guard is dropped.
+struct ConnectionGuard(Rc<Entry>);
+
+impl ConnectionGuard {
+    fn new(entry: &Rc<Entry>) -> Self {
+        entry.connections.set(entry.connections.get() + 1);
+        ConnectionGuard(Rc::clone(entry))
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+async fn connection(open: ConnectionGuard, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+    let entry = Rc::clone(&open.0);
     if let Err(error) = stream
         .set_nodelay(true)
         .and_then(|()| pool::set_keepalive(&stream, ACK_TIMEOUT))
@@ -189,8 +207,8 @@
 }
 
 /// Shuts down gracefully: fails the health check at once, then closes the listener, then waits for
-/// open requests. Those that are still open when the grace period is nearly over are answered: refused, if
-/// they were sent to no target.
+/// open requests, and for connections on which an answer is still being written. Requests that are still
+/// open when the grace period is nearly over are answered: refused, if they were sent to no target.
 pub async fn stop(entry: Rc<Entry>, closed: watch::Sender<bool>) {
     let started = tokio::time::Instant::now();
     entry.stopping.set(true);
@@ -209,15 +227,15 @@
         entry.ending.send_replace(true);
         wait_until_idle(&entry, end + FINAL_ANSWER_TIME).await;
     }
-    // The tasks that write the last bytes of responses may not have run yet.
-    tokio::time::sleep(Duration::from_millis(50)).await;
     entry.stopped.set(true);
     tracing::info!(part = "server", active = entry.active.get(), "stopped");
 }
 
-/// Waits until no request is open, or until `end`.
+/// Waits until no request and no connection is open, or until `end`. Idle connections close when the stop
+/// closes the listener, so the others are still being written to.
 async fn wait_until_idle(entry: &Entry, end: tokio::time::Instant) {
-    while entry.active.get() > 0 && tokio::time::Instant::now() < end {
+    let is_idle = || entry.active.get() == 0 && entry.connections.get() == 0;
+    while !is_idle() && tokio::time::Instant::now() < end {
         tokio::time::sleep(STOP_CHECK_INTERVAL).await;
     }
 }
--- a/crates/ebonylug-direct/tests/stop.rs
+++ b/crates/ebonylug-direct/tests/stop.rs
@@ -3,10 +3,11 @@
 mod common;
 
 use std::cell::RefCell;
+use std::io::{Read, Write};
 use std::rc::Rc;
 use std::time::Duration;
 
-use common::{Harness, ScriptedTarget, Step, get, read_response, run, status, wait_until};
+use common::{Harness, ScriptedTarget, Step, get, read_response, run, status, success, wait_until};
 use ebonylug_direct::{Bounds, server};
 use ebonylug_dispatch::Target;
 use tokio::io::AsyncWriteExt;
@@ -83,3 +84,49 @@
         assert_eq!(refused.count(), sent - target.request_count());
     });
 }
+
+/// A body that does not fit into the buffers of both sockets.
+const LARGE_BODY_BYTES: usize = 8_000_000;
+
+/// Guards against a stop that ends while a complete answer is still being written to a slow caller, long before
+/// the end of the grace.
+#[test]
+fn a_stop_waits_until_answers_are_written() {
+    let (addresses, address) = std::sync::mpsc::channel();
+    let (stop, stopped) = tokio::sync::oneshot::channel();
+    // The connections of the entry close when its thread ends, as when a process exits.
+    let entry = std::thread::spawn(move || {
+        run(async move {
+            let body = "b".repeat(LARGE_BODY_BYTES);
+            let target =
+                ScriptedTarget::start("engine-1", vec![Step::Send(success("r1", &body))]).await;
+            let Harness {
+                entry,
+                close,
+                address,
+                ..
+            } = start(&target).await;
+            addresses.send(address).expect("the caller waits");
+            stopped.await.expect("the caller has the head");
+            server::stop(entry, close).await;
+        });
+    });
+    let address = address.recv().expect("the entry has started");
+    let mut stream = std::net::TcpStream::connect(address).expect("connect to the entry");
+    let sent = stream.write_all(get("safe", "r1").as_bytes());
+    sent.expect("send the request");
+    let mut first = [0; 1_000];
+    stream
+        .read_exact(&mut first)
+        .expect("the start of the answer");
+    stop.send(()).expect("the entry waits");
+    std::thread::sleep(GRACE / 2);
+    let mut rest = Vec::new();
+    // Fails if the entry closed the connection with unsent bytes.
+    let read = stream.read_to_end(&mut rest);
+    entry.join().expect("the entry has stopped");
+    let head = String::from_utf8_lossy(&first);
+    let (head, _) = head.split_once("\r\n\r\n").expect("a whole head");
+    let received = first.len() + rest.len() - head.len() - 4;
+    assert_eq!((received, read.is_ok()), (LARGE_BODY_BYTES, true));
+}
