Limit targets that were cold before the first configuration

Cause: an entry that starts reads engines and configuration at the same time. While no rate for cold engines was known, their cold time was dropped, and the configuration did not look at them again.

Change: the scheduler keeps until when each target is cold, whether a rate is known or not, and limits the cold targets of a service when its rate is set. A new rate also applies to targets that are cold already.

--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -194,6 +194,7 @@
         state.quotas.update(now, &config, counts, phase);
         for service in config.services() {
             state.scheduler.set_cold_limit(
+                now,
                 service.name.clone(),
                 service.cold_rate,
                 service.cold_time,
--- a/crates/ebonylug-dispatch/src/cold.rs
+++ b/crates/ebonylug-dispatch/src/cold.rs
@@ -31,6 +31,11 @@
         self.until = self.until.max(until);
     }
 
+    /// Changes the rate of requests per second of all entries.
+    pub(crate) fn set_rate(&mut self, rate: f64) {
+        self.rate.set_rate(rate);
+    }
+
     /// Reports whether this entry may send a request now, if `entries` share the rate.
     pub(crate) fn allows_send(&self, now: Instant, entries: usize) -> bool {
         now >= self.until || self.rate.allows_send(now, entries)
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -122,8 +122,23 @@
     }
 
     /// Sets the maximum rate of requests per second to a cold target of a service, and its default cold time.
-    pub fn set_cold_limit(&mut self, service: Name, rate: f64, time: Duration) {
+    /// The rate also applies to targets that are cold now: they may have been listed before it was known.
+    pub fn set_cold_limit(&mut self, now: Instant, service: Name, rate: f64, time: Duration) {
+        let keys = self.services.get(&service).cloned().unwrap_or_default();
         self.cold_rates.insert(service, (rate, time));
+        for key in keys {
+            let record = &mut self.targets[key];
+            match &mut record.cold {
+                // Without a rate, there is no limit.
+                cold if rate <= 0.0 => *cold = None,
+                Some(cold) => cold.set_rate(rate),
+                None => {}
+            }
+            let until = record.cold_until.filter(|&until| until > now);
+            if let Some(until) = until {
+                self.limit_cold_rate(now, key, Some(until - now));
+            }
+        }
     }
 
     /// Sets the entries of this zone by which the targets are divided. `own` is this entry.
@@ -165,6 +180,7 @@
                 {
                     record.health = Health::default();
                     record.cold_report = None;
+                    record.cold_until = None;
                     record.limit = NamedLimit::default();
                     record.pace = None;
                 }
@@ -187,6 +203,7 @@
                     health: Health::default(),
                     cold: None,
                     cold_report: None,
+                    cold_until: None,
                     limit: NamedLimit::default(),
                     paused_until,
                     pace: None,
@@ -229,10 +246,13 @@
     /// Limits the send rate to a target that is or may be cold, for `time` or the default cold time.
     fn limit_cold_rate(&mut self, now: Instant, key: TargetKey, time: Option<Duration>) {
         let record = &mut self.targets[key];
-        let Some(&(rate, default_time)) = self.cold_rates.get(&record.info.service) else {
+        let limit = self.cold_rates.get(&record.info.service);
+        let time = time.or(limit.map(|&(_, default_time)| default_time));
+        let until = now + time.unwrap_or_default().min(MAX_COLD_TIME);
+        record.cold_until = record.cold_until.max(Some(until));
+        let Some(&(rate, _)) = limit else {
             return;
         };
-        let until = now + time.unwrap_or(default_time).min(MAX_COLD_TIME);
         match &mut record.cold {
             Some(cold) if cold.until() > now => cold.extend(until),
             cold => {
--- a/crates/ebonylug-dispatch/src/target.rs
+++ b/crates/ebonylug-dispatch/src/target.rs
@@ -77,6 +77,8 @@
     pub(crate) peers: PeerLoad,
     pub(crate) health: Health,
     pub(crate) cold: Option<ColdRate>,
+    /// The time until which the target is or may be cold, also while no rate for cold targets is known.
+    pub(crate) cold_until: Option<Instant>,
     /// The time until which the target is cold by its own responses to this entry.
     pub(crate) cold_report: Option<Instant>,
     /// The limit on requests that the target names.
--- a/crates/ebonylug-dispatch/tests/scheduler.rs
+++ b/crates/ebonylug-dispatch/tests/scheduler.rs
@@ -165,7 +165,7 @@
         for seed in 0..entries {
             let mut scheduler = scheduler(seed as u64 + 1);
             scheduler.set_entries(entries, Duration::ZERO);
-            scheduler.set_cold_limit(Name::new("pool"), rate, cold);
+            scheduler.set_cold_limit(start, Name::new("pool"), rate, cold);
             scheduler.put_target(start, Target { cold, ..target(0) });
             for step in 0..300_u32 {
                 let now = start + Duration::from_millis(10) * step;
@@ -211,7 +211,7 @@
     let mut keys = Vec::new();
     for entry in &mut entries {
         entry.set_entries(2, Duration::ZERO);
-        entry.set_cold_limit(Name::new("pool"), 10.0, Duration::from_secs(3));
+        entry.set_cold_limit(now, Name::new("pool"), 10.0, Duration::from_secs(3));
         keys.push(entry.put_target(now, target(0)));
     }
     entries[0].mark_cold(now, keys[0], Duration::from_secs(2));
@@ -230,7 +230,7 @@
 fn a_restored_target_is_treated_as_cold() {
     let start = Instant::now();
     let mut scheduler = scheduler(1);
-    scheduler.set_cold_limit(Name::new("pool"), 11.0, Duration::from_secs(3));
+    scheduler.set_cold_limit(start, Name::new("pool"), 11.0, Duration::from_secs(3));
     let key = scheduler.put_target(start, target(0));
     for _ in 0..2 {
         assert_eq!(sent_to(scheduler.place(start, request(0))), Some(key));
@@ -460,7 +460,7 @@
     let start = Instant::now();
     for time in [Duration::MAX, Duration::from_secs(u64::MAX / 2)] {
         let mut scheduler = scheduler(1);
-        scheduler.set_cold_limit(Name::new("pool"), 10.0, time);
+        scheduler.set_cold_limit(start, Name::new("pool"), 10.0, time);
         let key = scheduler.put_target(
             start,
             Target {
@@ -483,9 +483,64 @@
 fn a_tiny_cold_rate_stops_requests() {
     let start = Instant::now();
     let mut scheduler = scheduler(1);
-    scheduler.set_cold_limit(Name::new("pool"), f64::MIN_POSITIVE, Duration::from_secs(3));
+    scheduler.set_cold_limit(
+        start,
+        Name::new("pool"),
+        f64::MIN_POSITIVE,
+        Duration::from_secs(3),
+    );
     let cold = Duration::from_secs(3);
     scheduler.put_target(start, Target { cold, ..target(0) });
     assert!(fill(&mut scheduler, start, 0).is_empty());
     assert!(!fill(&mut scheduler, start + cold, 0).is_empty());
 }
+
+/// Guards against a cold target that gets the full rate from an entry that has read the targets before its first
+/// configuration, as after a restart: it was never limited then.
+#[test]
+fn a_target_that_was_cold_before_the_first_configuration_is_limited() {
+    let start = Instant::now();
+    let cold = Duration::from_secs(3);
+    let pool = Name::new("pool");
+    let reports: [fn(&mut Scheduler, Instant, Duration); 2] = [
+        |scheduler, now, cold| {
+            scheduler.put_target(now, Target { cold, ..target(0) });
+        },
+        |scheduler, now, cold| {
+            let key = scheduler.put_target(now, target(0));
+            scheduler.mark_cold(now, key, cold);
+        },
+    ];
+    for report in reports {
+        let mut scheduler = scheduler(1);
+        report(&mut scheduler, start, cold);
+        let later = start + Duration::from_secs(1);
+        scheduler.set_cold_limit(later, pool.clone(), 10.0, cold);
+        let second = later + Duration::from_secs(1);
+        assert_eq!(fill(&mut scheduler, second, 0).len(), 1);
+        assert!(
+            fill(&mut scheduler, start + cold, 0).len() > 1,
+            "it is warm"
+        );
+    }
+}
+
+/// Guards against a cold target that keeps the rate of an older configuration.
+#[test]
+fn a_new_rate_applies_to_targets_that_are_cold() {
+    let start = Instant::now();
+    let cold = Duration::from_secs(60);
+    let mut scheduler = scheduler(1);
+    scheduler.set_cold_limit(start, Name::new("pool"), 1_000.0, cold);
+    scheduler.put_target(start, Target { cold, ..target(0) });
+    scheduler.set_cold_limit(start, Name::new("pool"), 1.0, cold);
+    let mut sent = 0;
+    for step in 1..=100 {
+        let now = start + Duration::from_millis(100) * step;
+        for key in fill(&mut scheduler, now, 0) {
+            scheduler.finish(now, key, Outcome::Answered, None);
+            sent += 1;
+        }
+    }
+    assert!((1..=10).contains(&sent), "{sent} in 10 s");
+}
