Move the rows of a table that entries tell each other to the decision crate

Cause: which rows an entry has, what it tells of them and what another entry lacks are decisions, but they could only be tested with sockets.

Change: CachedTable, Row and TableUpdate move to ebonylug-dispatch; the cache of an entry keeps the transport. A message between entries holds an update and its version in place of rows and a flag.

Nothing was measured.

--- a/crates/ebonylug-direct/src/follow.rs
+++ b/crates/ebonylug-direct/src/follow.rs
@@ -13,24 +13,15 @@
 
 use ebonylug_core::Clock;
 use ebonylug_dispatch::TableKind;
+pub use ebonylug_dispatch::{Row, TableUpdate};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::{Deserialize, Serialize};
 
 use crate::entry::millis;
 use crate::uptime::Uptime;
 
-/// A row of a table, or the removal of one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Row {
-    /// The key.
-    pub key: Box<str>,
-    /// The value, or `None` if the row was removed.
-    pub value: Option<Vec<u8>>,
-}
-
 /// The rows of a table, or changes to them, up to one version.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Rows {
     /// All rows, or the changed rows.
     pub rows: Vec<Row>,
@@ -147,23 +138,6 @@
 /// Interval at which the age of the known rows is checked.
 const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// An update of a followed table.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum TableUpdate {
-    /// All rows of the table. Rows that are not included do not exist.
-    Snapshot(Vec<Row>),
-    /// The changed and removed rows.
-    Delta(Vec<Row>),
-}
-
-impl TableUpdate {
-    /// Reports whether the update changes no rows.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        matches!(self, TableUpdate::Delta(rows) if rows.is_empty())
-    }
-}
-
 /// The initial delay after a failed read. It doubles with each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// The maximum delay after failed reads. It bounds how long the entry takes to notice that the store
@@ -361,8 +335,7 @@
         if version <= current {
             return None;
         }
-        let (TableUpdate::Snapshot(rows) | TableUpdate::Delta(rows)) = &update;
-        let rows = rows.len();
+        let rows = update.rows().len();
         // Other entries read for most entries, and each change of the targets arrives this way.
         let frequent = self.kind == TableKind::Targets;
         if progress.failures > 0 || progress.version.is_none() || !frequent {
--- a/crates/ebonylug-direct/src/table_cache.rs
+++ b/crates/ebonylug-direct/src/table_cache.rs
@@ -5,7 +5,6 @@
 //! their gossip messages.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,13 +12,13 @@
 use bincode::Options;
 use bytes::Bytes;
 use ebonylug_core::Name;
-use ebonylug_dispatch::{RowHash, RowSum, TableKind, TableStamp};
+use ebonylug_dispatch::{CachedTable, Row, TableKind, TableUpdate};
 use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::follow::{Fallback, PeerTable, Row, Rows, TableUpdate};
+use crate::follow::{Fallback, PeerTable};
 use crate::peers::Exchange;
 use crate::pool;
 
@@ -30,8 +29,6 @@
 const MAX_PEERS: usize = 2;
 /// The path of the list of entries, which is built on request and not cached.
 const ENTRIES: &str = "entries";
-/// The maximum number of removed rows that are kept for entries that have an older version.
-const MAX_REMOVED: usize = 4_096;
 /// The maximum size of an encoded table. A configuration of 6,400 organisations takes a quarter of it.
 const MAX_TABLE_BYTES: usize = 6 << 20;
 
@@ -47,32 +44,12 @@
     targets: RefCell<CachedTable>,
 }
 
-/// The rows of a table, with the versions that are needed to tell other entries only the changes.
-#[derive(Debug, Default)]
-struct CachedTable {
-    /// The version up to which the rows are known; 0 before the first ones.
-    version: u64,
-    /// The version of the oldest change that is known.
-    base: u64,
-    rows: BTreeMap<Box<str>, CachedRow>,
-    sum: RowSum,
-    /// Removed rows, with the version of their removal.
-    removed: BTreeMap<Box<str>, u64>,
-}
-
-#[derive(Debug)]
-struct CachedRow {
-    value: Vec<u8>,
-    version: u64,
-    hash: RowHash,
-}
-
 /// A message with a table, or its changes.
 #[derive(Debug, Serialize, Deserialize)]
 struct TableMessage {
-    rows: Rows,
-    /// Whether `rows` holds only the changes since the requested version.
-    partial: bool,
+    update: TableUpdate,
+    /// The version up to which the rows are known.
+    version: u64,
 }
 
 impl TableCache {
@@ -91,7 +68,7 @@
         let peers = self.exchange.reachable_peers();
         let addresses = peers.into_iter().map(|(_, address)| address);
         if let Some(entries) = fetch_from(addresses, ENTRIES, 0).await {
-            self.exchange.add_rows(&entries.rows.rows);
+            self.exchange.add_rows(entries.update.rows());
         }
     }
 
@@ -107,13 +84,17 @@
     pub(crate) fn encode_newer(&self, path: &str, after: u64) -> Option<Bytes> {
         let message = match path {
             ENTRIES => TableMessage {
-                rows: self.entries(),
-                partial: false,
+                update: TableUpdate::Snapshot(self.entries()),
+                version: 1,
             },
             _ => {
                 let mut kinds = TableKind::ALL.into_iter();
                 let kind = kinds.find(|kind| kind.as_str() == path)?;
-                self.table(kind).borrow().newer(after)?
+                let table = self.table(kind).borrow();
+                TableMessage {
+                    update: table.newer(after)?,
+                    version: table.version(),
+                }
             }
         };
         match codec().serialize(&message) {
@@ -126,17 +107,13 @@
     }
 
     /// Returns the reachable entries as rows of a table without versions.
-    fn entries(&self) -> Rows {
+    fn entries(&self) -> Vec<Row> {
         let row = |(name, address): (Name, SocketAddr)| Row {
             key: name.as_str().into(),
             value: Some(address.to_string().into_bytes()),
         };
         let entries = self.exchange.reachable_entries().into_iter();
-        Rows {
-            rows: entries.map(row).collect(),
-            version: 1,
-            clock: Duration::ZERO,
-        }
+        entries.map(row).collect()
     }
 
     /// Returns the addresses of entries that may have a newer table.
@@ -169,95 +146,11 @@
     None
 }
 
-impl CachedTable {
-    /// Returns the changes after `after`, or all rows if not all those changes are known.
-    fn newer(&self, after: u64) -> Option<TableMessage> {
-        if self.version <= after {
-            return None;
-        }
-        let partial = after >= self.base;
-        let from = if partial { after } else { 0 };
-        let rows = self.rows.iter().filter(|(_, row)| row.version > from);
-        let rows = rows.map(|(key, row)| Row {
-            key: key.clone(),
-            value: Some(row.value.clone()),
-        });
-        let removed = self.removed.iter();
-        let removed = removed.filter(|(_, version)| partial && **version > from);
-        let removed = removed.map(|(key, _)| Row {
-            key: key.clone(),
-            value: None,
-        });
-        Some(TableMessage {
-            rows: Rows {
-                rows: rows.chain(removed).collect(),
-                version: self.version,
-                clock: Duration::ZERO,
-            },
-            partial,
-        })
-    }
-
-    fn apply(&mut self, update: &TableUpdate, version: u64) {
-        self.version = version;
-        let rows = match update {
-            TableUpdate::Snapshot(rows) => {
-                self.rows.clear();
-                self.sum = RowSum::default();
-                self.removed.clear();
-                self.base = version;
-                rows
-            }
-            TableUpdate::Delta(rows) => rows,
-        };
-        for Row { key, value } in rows {
-            match value {
-                Some(value) => {
-                    self.removed.remove(key);
-                    self.insert(key, value, version);
-                }
-                None => {
-                    if let Some(row) = self.rows.remove(key) {
-                        self.sum.remove(row.hash);
-                    }
-                    self.removed.insert(key.clone(), version);
-                }
-            }
-        }
-        if self.removed.len() > MAX_REMOVED {
-            self.removed.clear();
-            self.base = version;
-        }
-    }
-
-    fn insert(&mut self, key: &str, value: &[u8], version: u64) {
-        let row = CachedRow {
-            value: value.into(),
-            version,
-            hash: RowHash::new(key, value),
-        };
-        self.sum.add(row.hash);
-        if let Some(before) = self.rows.insert(key.into(), row) {
-            self.sum.remove(before.hash);
-        }
-    }
-
-    fn stamp(&self) -> TableStamp {
-        TableStamp {
-            version: self.version,
-            digest: self.sum.digest(),
-        }
-    }
-}
-
 impl Fallback for Rc<TableCache> {
     fn record(&self, table: TableKind, update: &TableUpdate, version: u64) {
         let mut cached = self.table(table).borrow_mut();
         cached.apply(update, version);
-        // Without changed rows, the stamp remains valid, and a newer one would only be news to all peers.
-        if !update.is_empty() {
-            self.exchange.entry().set_table_stamp(table, cached.stamp());
-        }
+        self.exchange.entry().set_table_stamp(table, cached.stamp());
     }
 
     fn announce(&self) {
@@ -271,12 +164,7 @@
     async fn fetch_newer(&self, table: TableKind, after: u64) -> Option<PeerTable> {
         let sources = self.sources(table, after);
         let message = fetch_from(sources, table.as_str(), after).await?;
-        let Rows { rows, version, .. } = message.rows;
-        let update = if message.partial {
-            TableUpdate::Delta(rows)
-        } else {
-            TableUpdate::Snapshot(rows)
-        };
+        let TableMessage { update, version } = message;
         Some(PeerTable { update, version })
     }
 
--- a/crates/ebonylug-dispatch/src/lib.rs
+++ b/crates/ebonylug-dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`RetryBudget`]: one entry's share of the retry budget.
 //! - [`Freshness`]: whether the configuration is recent enough to accept its API keys.
 //! - [`Peers`]: the last reported state of the other entries.
+//! - [`CachedTable`]: the rows of a table of the platform, and what other entries lack of them.
 //! - [`CrashDetector`]: requests and prompt parts that crash the targets that run them.
 //! - [`Rollout`]: a move of a service to another version.
 //! - [`VersionLatencies`]: whether responses take longer than those of the old version.
@@ -24,6 +25,7 @@
 //! entries add up to the whole.
 
 mod budget;
+mod cached_table;
 mod choice;
 mod cold;
 mod config;
@@ -51,6 +53,7 @@
 mod version_latency;
 
 pub use budget::{RetryBudget, RetryRule};
+pub use cached_table::{CachedTable, Row, TableUpdate};
 pub use config::{Config, Limits, Organisation, Quota, RawConfig, Route, RouteKind, Service};
 pub use crashes::CrashDetector;
 pub use freshness::Freshness;
