Let engines of the soak say in their answers that they leave

Cause: notices of engines were tested in the decisions and at one entry, but not with real processes under faults.

Change: an engine of the soak that leaves says so in its answers; at each third one only these tell. The checker judges that an entry that has passed on such an answer sends the engine nothing 2 s later, restarts and suspensions excused. Pauses are not played yet.

--- a/crates/ebonylug-soak/src/checker.rs
+++ b/crates/ebonylug-soak/src/checker.rs
@@ -128,6 +128,7 @@
         }
         self.check_version_order(&mut results);
         self.check_changes(&mut results);
+        self.check_notices(&mut results);
         self.check_quota(&mut results);
         for (at, failure) in &self.history.process_failures {
             results.record(Guarantee::Ends, false, || {
@@ -376,6 +377,46 @@
         results.record(Guarantee::Drained, true, String::new);
     }
 
+    /// Checks that an entry process which has passed on a response of an engine that leaves sends it no requests later,
+    /// unless the process was disturbed in between.
+    fn check_notices(&self, results: &mut CheckResults) {
+        let mut first: HashMap<(&str, (usize, u32)), u64> = HashMap::new();
+        let sent_by = |execution: &Execution| self.requests.get(&execution.id).copied();
+        for execution in self.history.executions.iter().filter(|e| e.leaving) {
+            let served =
+                |request: &&RequestRecord| matches!(request.outcome, Outcome::Served { .. });
+            if let Some(request) = sent_by(execution).filter(served) {
+                let key = (execution.engine.as_str(), request.entry);
+                let at = first.entry(key).or_insert(request.ended);
+                *at = request.ended.min(*at);
+            }
+        }
+        for execution in &self.history.executions {
+            let Some(request) = sent_by(execution) else {
+                continue;
+            };
+            let Some(&at) = first.get(&(execution.engine.as_str(), request.entry)) else {
+                continue;
+            };
+            let scope = FaultScope::Entry(request.entry.0);
+            let late = request.sent > at + APPLY_LIMIT_MS;
+            if late && self.is_undisturbed(at, execution.started, |other| other == scope) {
+                results.record(Guarantee::Drained, false, || {
+                    format!(
+                        "{} reached {}, which had told this entry at {} that it leaves",
+                        self.describe(request),
+                        execution.engine,
+                        self.format_offset(at)
+                    )
+                });
+            }
+        }
+        // Counted once per pair, since there is no execution to count when the guarantee holds.
+        for _ in &first {
+            results.record(Guarantee::Drained, true, String::new);
+        }
+    }
+
     fn check_quota(&self, results: &mut CheckResults) {
         let limited = |execution: &&Execution| {
             let request = self.requests.get(&execution.id);
--- a/crates/ebonylug-soak/src/engine.rs
+++ b/crates/ebonylug-soak/src/engine.rs
@@ -19,6 +19,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
 
 use crate::history::{Execution, now};
 
@@ -39,6 +40,8 @@
     dialect: Rc<Dialect>,
     /// The number of requests in progress.
     running: Rc<Cell<u32>>,
+    /// Whether the engine says in its responses that it leaves.
+    leaving: Rc<Cell<bool>>,
 }
 
 /// Frees a slot when dropped.
@@ -68,7 +71,8 @@
     format!("question {id:x}")
 }
 
-/// Serves requests from entries until the process is killed.
+/// Serves requests from entries until the process is killed. After SIGUSR1, all responses say that the engine
+/// leaves.
 ///
 /// # Errors
 ///
@@ -78,7 +82,14 @@
         name: name.into(),
         dialect: Rc::new(headers::dialect()),
         running: Rc::default(),
+        leaving: Rc::default(),
     };
+    let mut leave = signal(SignalKind::user_defined1())?;
+    let leaving = Rc::clone(&engine.leaving);
+    tokio::task::spawn_local(async move {
+        leave.recv().await;
+        leaving.set(true);
+    });
     let listener = TcpListener::bind(address).await?;
     loop {
         let (stream, _) = listener.accept().await?;
@@ -128,6 +139,7 @@
             last_event: last_id.unwrap_or(0),
             mismatch: find_mismatch(&self.dialect, id, &parts.headers, body.as_deref().ok()),
             truncated: truncate,
+            leaving: self.leaving.get(),
         };
         write_execution(&execution);
         let body = if stream {
@@ -141,6 +153,10 @@
         response
             .headers_mut()
             .insert(&self.dialect.signature, signature);
+        if execution.leaving {
+            let value = HeaderValue::from_static("1");
+            response.headers_mut().insert(&self.dialect.leaving, value);
+        }
         self.set_request_id(id, &mut response);
         response
     }
--- a/crates/ebonylug-soak/src/history.rs
+++ b/crates/ebonylug-soak/src/history.rs
@@ -123,6 +123,9 @@
     /// Whether the engine truncates its response on purpose.
     #[serde(rename = "breaks")]
     pub truncated: bool,
+    /// Whether the response says that the engine leaves.
+    #[serde(rename = "leaves", default)]
+    pub leaving: bool,
 }
 
 /// A change by the operator or an engine, recorded when the store has acknowledged it.
--- a/crates/ebonylug-soak/src/runner.rs
+++ b/crates/ebonylug-soak/src/runner.rs
@@ -267,12 +267,17 @@
     Ok(())
 }
 
-/// Marks an engine as leaving, or removes its row without notice, and starts a replacement. Kills the engine later.
+/// Lets an engine leave, and starts a replacement. Kills the engine later. It says in its responses that it leaves;
+/// with notice, its row says so as well, or says nothing at each third engine, and without notice it is removed.
 async fn remove_engine(cluster: &Arc<Cluster>, number: usize, notice: bool) -> Result<()> {
     let index = number % cluster.engine_count();
     let engine = cluster.engine(index);
     let name = &engine.row.name;
-    if notice {
+    let silent_row = notice && number.is_multiple_of(3);
+    engine.handle.signal(Signal::USR1);
+    if silent_row {
+        // Only the responses tell.
+    } else if notice {
         cluster.store.put_target(&Target {
             state: TargetState::Leaving,
             ..engine.row.clone()
@@ -280,9 +285,11 @@
     } else {
         cluster.store.remove_target(name);
     }
-    cluster.record_change(Change::Leaving {
-        engine: name.to_string(),
-    });
+    if !silent_row {
+        cluster.record_change(Change::Leaving {
+            engine: name.to_string(),
+        });
+    }
     cluster.add_engine(index).await?;
     tokio::time::sleep(LEAVE_DURATION).await;
     cluster.record_fault(FaultScope::Engine, Duration::from_millis(100));
--- a/crates/ebonylug-soak/tests/checker.rs
+++ b/crates/ebonylug-soak/tests/checker.rs
@@ -28,6 +28,7 @@
         last_event: 0,
         mismatch: None,
         truncated: false,
+        leaving: false,
     }
 }
 
@@ -264,3 +265,34 @@
     failed.process_failures = vec![(START, "entry 0 ended".into())];
     assert_eq!(violated(&failed), [Guarantee::Ends]);
 }
+
+/// Guards against a checker that misses a request to an engine which has said to this entry that it leaves, or
+/// reports one that is allowed.
+#[test]
+fn reports_requests_after_a_response_that_says_leaving() {
+    let told = |leaving| Execution {
+        leaving,
+        ..execution(1, 0)
+    };
+    let safe = |id, at| request(id, RequestKind::Safe, at, served());
+    let other_start = RequestRecord {
+        entry: (0, 2),
+        ..safe(2, 2_200)
+    };
+    let paused = fault_window(FaultScope::Entry(0), 500, 600);
+    let cases = [
+        (told(true), safe(2, 2_200), vec![], vec![Guarantee::Drained]),
+        (told(false), safe(2, 2_200), vec![], vec![]),
+        (told(true), safe(2, 2_050), vec![], vec![]),
+        (told(true), other_start, vec![], vec![]),
+        (told(true), safe(2, 2_200), vec![paused], vec![]),
+    ];
+    for (first, second, fault_windows, expected) in cases {
+        let late = execution(2, second.sent - START);
+        let history = History {
+            fault_windows,
+            ..history(vec![safe(1, 0), second], vec![first, late])
+        };
+        assert_eq!(violated(&history), expected, "{history:?}");
+    }
+}
