Make tests of stops and tables independent of short delays

Cause: read as a newcomer, three tests would fail on a machine that stands still for 0.3 to 1.2 s: late requests were sent 0.3 s before the listener closes, callers were judged before they could read, a slow caller had 1.2 s left, and an entry that took itself for a reader got no answer for good.

Change: more time in each place, callers that read before they are judged, and a feed that answers. What is checked stays.

--- a/crates/ebonylug-direct/tests/stop.rs
+++ b/crates/ebonylug-direct/tests/stop.rs
@@ -14,8 +14,10 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
-/// A short grace, which leaves less than two seconds between the close of the listener and the end.
-const GRACE: Duration = Duration::from_millis(3_600);
+/// A short grace, which ends before requests that wait for a target are refused.
+const SHORT_GRACE: Duration = Duration::from_secs(3);
+/// A usual grace. New connections are accepted for 2.5 s of it.
+const USUAL_GRACE: Duration = Duration::from_secs(8);
 
 /// Sends a request on a connection that was opened before, and records the answer.
 fn send(mut stream: TcpStream, request: &str, answers: &Rc<RefCell<Vec<String>>>) {
@@ -28,11 +30,11 @@
     });
 }
 
-/// Starts an entry with a short grace and one target with one slot.
-async fn start(target: &ScriptedTarget) -> Harness {
+/// Starts an entry with this grace and one target with one slot.
+async fn start(target: &ScriptedTarget, grace: Duration) -> Harness {
     let harness = Harness::start(&[target]).await;
     harness.entry.set_bounds(Bounds {
-        grace: GRACE,
+        grace,
         ..harness.bounds
     });
     let target = Target {
@@ -49,7 +51,7 @@
 fn requests_that_are_open_at_the_end_of_the_grace_get_an_answer() {
     run(async {
         let target = ScriptedTarget::start("engine-1", vec![Step::Hang(String::new())]).await;
-        let harness = start(&target).await;
+        let harness = start(&target, SHORT_GRACE).await;
         let answers = Rc::default();
         let mut late = Vec::new();
         for _ in 0..30 {
@@ -59,7 +61,7 @@
         wait_until("the target has the request", || target.request_count() == 1).await;
         let Harness { entry, close, .. } = harness;
         let stop = spawn_local(server::stop(Rc::clone(&entry), close));
-        tokio::time::sleep(GRACE / 4).await;
+        tokio::time::sleep(SHORT_GRACE / 30).await;
         let sent = late.len() + 1;
         for (number, stream) in late.into_iter().enumerate() {
             let route = ["once", "safe", "stream"][number % 3];
@@ -73,7 +75,10 @@
         }
         stop.await.expect("stop the entry");
 
-        // The process exits now.
+        // The process exits now. The callers, which share its thread, read what it has written.
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
         let answers = answers.borrow();
         assert_eq!(answers.len(), sent, "requests without an answer");
         for answer in answers.iter() {
@@ -105,7 +110,7 @@
                 close,
                 address,
                 ..
-            } = start(&target).await;
+            } = start(&target, USUAL_GRACE).await;
             addresses.send(address).expect("the caller waits");
             stopped.await.expect("the caller has the head");
             server::stop(entry, close).await;
@@ -120,7 +125,8 @@
         .read_exact(&mut first)
         .expect("the start of the answer");
     stop.send(()).expect("the entry waits");
-    std::thread::sleep(GRACE / 2);
+    // Longer than the entry accepts connections.
+    std::thread::sleep(USUAL_GRACE * 2 / 5);
     let mut rest = Vec::new();
     // Fails if the entry closed the connection with unsent bytes.
     let read = stream.read_to_end(&mut rest);
--- a/crates/ebonylug-direct/tests/table_cache.rs
+++ b/crates/ebonylug-direct/tests/table_cache.rs
@@ -365,7 +365,7 @@
     }
 }
 
-/// A feed of an entry that other entries read for: all rows at version 5, and no answer to later reads.
+/// A feed that has all rows at version 5, and no changes later.
 struct FirstRows;
 
 impl Feed for FirstRows {
@@ -378,7 +378,12 @@
     }
 
     async fn changes(&self, _: u64, _: Duration) -> Result<Rows> {
-        std::future::pending().await
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        Ok(Rows {
+            rows: Vec::new(),
+            version: 5,
+            clock: Duration::ZERO,
+        })
     }
 }
 
