--- a/crates/ebonylug-direct/src/follow.rs
+++ b/crates/ebonylug-direct/src/follow.rs
@@ -16,6 +16,7 @@
 pub use ebonylug_dispatch::{Row, TableUpdate};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
 
 use crate::entry::millis;
 use crate::uptime::Uptime;
@@ -54,12 +55,12 @@
     fn changes(&self, after: u64, wait: Duration) -> impl Future<Output = Result<Rows>>;
 }
 
-/// An update that another entry has.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// A table that another entry has, or its changes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerTable {
     /// The rows.
     pub update: TableUpdate,
-    /// The version of the table that includes them.
+    /// The version up to which the rows are known.
     pub version: u64,
 }
 
@@ -337,8 +338,8 @@
         }
         let rows = update.rows().len();
         // Other entries read for most entries, and each change of the targets arrives this way.
-        let frequent = self.kind == TableKind::Targets;
-        if progress.failures > 0 || progress.version.is_none() || !frequent {
+        let rare = self.kind == TableKind::Orders;
+        if rare || progress.failures > 0 || progress.version.is_none() {
             tracing::info!(
                 part = "store",
                 table = self.name,
--- a/crates/ebonylug-direct/src/state.rs
+++ b/crates/ebonylug-direct/src/state.rs
@@ -71,8 +71,11 @@
 
     /// Adds or updates a target.
     pub(crate) fn put_target(&mut self, now: Instant, target: Target) {
-        let target = self.scheduler.with_notices(target);
         let current = self.scheduler.find(&target.name).cloned();
+        let key = self.scheduler.put_target(now, target);
+        let Some(target) = self.scheduler.target(key).cloned() else {
+            return;
+        };
         if current
             .as_ref()
             .is_none_or(|current| !current.eq_ignoring_cold(&target))
@@ -92,7 +95,6 @@
         if let Some(current) = current.filter(|current| current.started_ms != target.started_ms) {
             self.record_down(now, &current);
         }
-        self.scheduler.put_target(now, target);
     }
 
     /// Removes a target. One that was still serving counts as down, because it may have crashed.
--- a/crates/ebonylug-direct/src/table_cache.rs
+++ b/crates/ebonylug-direct/src/table_cache.rs
@@ -15,7 +15,6 @@
 use ebonylug_dispatch::{CachedTable, Row, TableKind, TableUpdate};
 use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::follow::{Fallback, PeerTable};
@@ -44,14 +43,6 @@
     targets: RefCell<CachedTable>,
 }
 
-/// A message with a table, or its changes.
-#[derive(Debug, Serialize, Deserialize)]
-struct TableMessage {
-    update: TableUpdate,
-    /// The version up to which the rows are known.
-    version: u64,
-}
-
 impl TableCache {
     /// Creates an empty cache.
     #[must_use]
@@ -83,7 +74,7 @@
     /// `None` if there are none.
     pub(crate) fn encode_newer(&self, path: &str, after: u64) -> Option<Bytes> {
         let message = match path {
-            ENTRIES => TableMessage {
+            ENTRIES => PeerTable {
                 update: TableUpdate::Snapshot(self.entries()),
                 version: 1,
             },
@@ -91,7 +82,7 @@
                 let mut kinds = TableKind::ALL.into_iter();
                 let kind = kinds.find(|kind| kind.as_str() == path)?;
                 let table = self.table(kind).borrow();
-                TableMessage {
+                PeerTable {
                     update: table.newer(after)?,
                     version: table.version(),
                 }
@@ -132,7 +123,7 @@
     addresses: impl IntoIterator<Item = SocketAddr>,
     path: &str,
     after: u64,
-) -> Option<TableMessage> {
+) -> Option<PeerTable> {
     for address in addresses.into_iter().take(MAX_PEERS) {
         let call = tokio::time::timeout(CALL_TIMEOUT, fetch(address, path, after)).await;
         match call.unwrap_or_else(|elapsed| Err(elapsed.into())) {
@@ -163,9 +154,7 @@
 
     async fn fetch_newer(&self, table: TableKind, after: u64) -> Option<PeerTable> {
         let sources = self.sources(table, after);
-        let message = fetch_from(sources, table.as_str(), after).await?;
-        let TableMessage { update, version } = message;
-        Some(PeerTable { update, version })
+        fetch_from(sources, table.as_str(), after).await
     }
 
     fn is_reader(&self) -> bool {
@@ -182,7 +171,7 @@
 }
 
 /// Fetches a table, or its changes, from another entry. Returns `None` if it has no version after `after`.
-async fn fetch(address: SocketAddr, path: &str, after: u64) -> Result<Option<TableMessage>> {
+async fn fetch(address: SocketAddr, path: &str, after: u64) -> Result<Option<PeerTable>> {
     let mut connection = pool::connect(address).await?;
     let request = Request::get(format!("/{path}?{after}"))
         .header(header::HOST, address.to_string())
--- a/crates/ebonylug-direct/tests/common/mod.rs
+++ b/crates/ebonylug-direct/tests/common/mod.rs
@@ -449,6 +449,20 @@
     assert!(result.is_ok(), "timed out waiting until {what}");
 }
 
+/// Interval at which an entry performs periodic work.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Performs the periodic work of an entry until the task is aborted.
+pub fn tick_periodically(entry: &Rc<Entry>) -> tokio::task::JoinHandle<()> {
+    let entry = Rc::clone(entry);
+    tokio::task::spawn_local(async move {
+        loop {
+            tokio::time::sleep(TICK).await;
+            entry.tick();
+        }
+    })
+}
+
 /// Runs a test on the current thread.
 pub fn run(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/ebonylug-direct/tests/endless.rs
+++ b/crates/ebonylug-direct/tests/endless.rs
@@ -8,7 +8,7 @@
 
 use common::{
     Harness, ScriptedTarget, Step, TIMEOUT, chunk, config, event, get, run, status, stream_head,
-    success, wait_until,
+    success, tick_periodically, wait_until,
 };
 use ebonylug_direct::{Bounds, ResponseLimits};
 use ebonylug_dispatch::Target;
@@ -20,8 +20,6 @@
 const TARGETS: usize = 4;
 /// Memory for the bodies of responses at such an entry, in bytes.
 const BODY_MEMORY: usize = 8_800_000;
-/// Interval at which an entry performs periodic work.
-const TICK: Duration = Duration::from_millis(20);
 /// Memory that an entry of 88 MB may use in this state, in kilobytes.
 const MAX_GROWTH_KB: usize = 44_000;
 
@@ -125,13 +123,7 @@
                 ..target.target()
             });
             harness.entry.set_targets(targets.collect());
-            let entry = Rc::clone(&harness.entry);
-            let ticker = tokio::task::spawn_local(async move {
-                loop {
-                    tokio::time::sleep(TICK).await;
-                    entry.tick();
-                }
-            });
+            let ticker = tick_periodically(&harness.entry);
             let mut callers = Vec::new();
             for _ in 0..REQUESTS * TARGETS {
                 let harness = Rc::clone(&harness);
--- a/crates/ebonylug-direct/tests/notices.rs
+++ b/crates/ebonylug-direct/tests/notices.rs
@@ -2,12 +2,10 @@
 
 mod common;
 
-use std::time::Duration;
-
-use common::{Harness, ScriptedTarget, Step, get, response, run, status, stream_head, success};
-
-/// Interval at which an entry performs periodic work.
-const TICK: Duration = Duration::from_millis(20);
+use common::{
+    Harness, ScriptedTarget, Step, get, response, run, status, stream_head, success,
+    tick_periodically,
+};
 
 /// Guards against requests to a target that has said in any of its responses that it leaves.
 #[test]
@@ -87,13 +85,7 @@
             let harness = Harness::start(&[&target]).await;
             let refused = harness.call(&get("once", "r1")).await;
             assert_eq!(status(&refused), 503, "{header}");
-            let entry = std::rc::Rc::clone(&harness.entry);
-            let ticker = tokio::task::spawn_local(async move {
-                loop {
-                    tokio::time::sleep(TICK).await;
-                    entry.tick();
-                }
-            });
+            let ticker = tick_periodically(&harness.entry);
             let next = harness.call(&get("safe", "r2")).await;
             ticker.abort();
             // A request waits for a target whose pause is short.
--- a/crates/ebonylug-dispatch/src/scheduler.rs
+++ b/crates/ebonylug-dispatch/src/scheduler.rs
@@ -169,9 +169,12 @@
     }
 
     /// Adds a target or updates an existing one of the same name.
-    pub fn put_target(&mut self, now: Instant, info: Target) -> TargetKey {
-        let info = self.with_notices(info);
-        let paused_until = self.pause_end(&info);
+    pub fn put_target(&mut self, now: Instant, mut info: Target) -> TargetKey {
+        let notices = self.notices.of(&info.name, info.started_ms);
+        if notices.leaving {
+            info.state = TargetState::Leaving;
+        }
+        let paused_until = notices.paused_until;
         let cold = info.cold;
         let key = match self.names.get(&info.name) {
             Some(&key) if self.targets[key].info.service == info.service => {
@@ -571,12 +574,18 @@
 
     fn refusal(&mut self, reason: Reason, after: Duration) -> Refusal {
         // Spreads retries over 0.5 to 2 times the given time.
-        self.random_state = mix(self.random_state, 1).wrapping_add(1);
+        let spread = 0.5 + 1.5 * self.random_unit();
         Refusal {
             reason,
-            retry_after: after.mul_f64(0.5 + 1.5 * unit_interval(self.random_state)),
+            retry_after: after.mul_f64(spread),
         }
     }
+
+    /// Returns a pseudorandom number from 0 to 1.
+    fn random_unit(&mut self) -> f64 {
+        self.random_state = mix(self.random_state, 1).wrapping_add(1);
+        unit_interval(self.random_state)
+    }
 }
 
 /// Returns the position of this entry's first send to a target among those of all entries, from 0 to 1.
--- a/crates/ebonylug-dispatch/src/scheduler/notices.rs
+++ b/crates/ebonylug-dispatch/src/scheduler/notices.rs
@@ -3,7 +3,6 @@
 use std::time::{Duration, Instant};
 
 use super::{MAX_COLD_TIME, PlacementRequest, Scheduler};
-use crate::hash::{mix, unit_interval};
 use crate::refusal::{Reason, Refusal};
 use crate::target::{Target, TargetKey, TargetState};
 
@@ -13,20 +12,6 @@
 const RETURN_SPREAD: f64 = 0.5;
 
 impl Scheduler {
-    /// Returns a target with the state that its notices give it.
-    #[must_use]
-    pub fn with_notices(&self, mut info: Target) -> Target {
-        if self.notices.of(&info.name, info.started_ms).leaving {
-            info.state = TargetState::Leaving;
-        }
-        info
-    }
-
-    /// Returns the time until which a target has asked for no requests.
-    pub(super) fn pause_end(&self, info: &Target) -> Option<Instant> {
-        self.notices.of(&info.name, info.started_ms).paused_until
-    }
-
     /// Records that a target has said that it is about to stop. `info` is the target to which the request was
     /// sent, since another start of it may be listed by now. Returns whether this is news.
     pub fn mark_leaving(&mut self, info: &Target) -> bool {
@@ -79,8 +64,7 @@
         if left <= request.max_wait {
             return None;
         }
-        self.random_state = mix(self.random_state, 1).wrapping_add(1);
-        let spread = RETURN_SPREAD * unit_interval(self.random_state);
+        let spread = RETURN_SPREAD * self.random_unit();
         Some(Refusal {
             reason: Reason::Paused,
             retry_after: left.mul_f64(1.0 + spread),
