--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -14,6 +14,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+mod cold;
 mod extra;
 mod spoilt;
 
@@ -509,8 +510,6 @@
     child: Child,
     callers: SocketAddr,
     ready: SocketAddr,
-    settings: PathBuf,
-    log: PathBuf,
 }
 
 impl Drop for Entry {
@@ -587,8 +586,6 @@
             child,
             callers: format!("{host}:{callers}").parse()?,
             ready: format!("{host}:{ready}").parse()?,
-            settings,
-            log,
         })
     }
 
@@ -633,19 +630,6 @@
         let id = self.child.id().to_string();
         let _ = Command::new("kill").args([name, &id]).status();
     }
-
-    /// Kills the process and starts it again with the same settings.
-    fn restart(&mut self) -> Result<()> {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let text = fs::read_to_string(&self.settings)?;
-        fs::write(
-            &self.settings,
-            text.replace("\"first\": true", "\"first\": false"),
-        )?;
-        self.child = Entry::spawn(&self.settings, &self.log)?;
-        Ok(())
-    }
 }
 
 // ---------------------------------------------------------------------------------------------------
@@ -666,6 +650,8 @@
     let routes = [
         route("quote-draft", "quote", MODEL_SERVICE, r#""kind":"streaming","timeout_ms":5000,"target_latency_ms":600,"priority":0,"max_attempts":2,"sticky":true,"resumable":true,"gap_target_ms":250"#),
         route("shift-summary", "shift", MODEL_SERVICE, r#""kind":"streaming","timeout_ms":3000,"target_latency_ms":1000,"priority":1,"max_attempts":1,"sticky":true,"resumable":false,"gap_target_ms":250"#),
+        route("shift-notes", "notes", MODEL_SERVICE, r#""kind":"streaming","timeout_ms":3000,"target_latency_ms":1000,"priority":1,"max_attempts":1,"sticky":true,"resumable":false,"gap_target_ms":250"#)
+            .replace(r#""public":false"#, r#""public":true"#),
         route("dispatch-order", "order", PLAIN_SERVICE, r#""kind":"unsafe","timeout_ms":1500,"target_latency_ms":300,"priority":2,"max_attempts":1"#),
         route("stock-lookup", "stock", PLAIN_SERVICE, r#""kind":"safe","timeout_ms":1500,"target_latency_ms":300,"priority":2,"max_attempts":2"#),
     ]
@@ -758,8 +744,24 @@
     record.add(&format!("case {case}, disruption {trouble}"));
     watch();
     let result = match case.as_str() {
+        "cold" => cold::run(&site),
         "extra" => extra::run(&site),
-        "spoilt" => spoilt::run(&site),
+        "batch" => spoilt::run(
+            &site,
+            spoilt::Plan {
+                piece: 6,
+                bit: 0x10,
+                together: 2,
+            },
+        ),
+        "first" => spoilt::run(
+            &site,
+            spoilt::Plan {
+                piece: 1,
+                bit: 0x08,
+                together: 1,
+            },
+        ),
         _ => Err("unknown case".into()),
     };
     let code = match &result {
--- a/review/rig-2/spoilt.rs
+++ b/review/rig-2/spoilt.rs
@@ -15,8 +15,20 @@
 /// One in this many answers of the faulty engine is spoilt.
 const SHARE: u64 = 50;
 
+/// Where the wrong byte is.
+#[derive(Clone, Copy)]
+pub(crate) struct Plan {
+    /// The piece whose number is wrong.
+    pub(crate) piece: u64,
+    /// The bit of its last digit that is wrong.
+    pub(crate) bit: u8,
+    /// Pieces that leave an engine at a time.
+    pub(crate) together: u64,
+}
+
 struct Engine {
     name: String,
+    plan: Plan,
     /// Whether it hands out wrong bytes now.
     faulty: AtomicBool,
     answers: AtomicU64,
@@ -56,16 +68,15 @@
         writer.write_all(head.as_bytes())?;
         let mut next = last + 1;
         while next <= PIECES {
-            // Two pieces leave the engine at a time.
-            let end = (next + 1).min(PIECES);
+            let end = (next + self.plan.together - 1).min(PIECES);
             thread::sleep(PIECE_TIME * (end + 1 - next) as u32);
             let mut pieces = Vec::new();
             for piece in next..=end {
                 let mut bytes =
                     format!("id: {piece}\ndata: piece {piece} of {id}\n\n").into_bytes();
-                if spoilt && piece == 6 {
+                if spoilt && piece == self.plan.piece {
                     // One wrong bit in the number of the piece.
-                    bytes[4] ^= 0x10;
+                    bytes[4] ^= self.plan.bit;
                     self.spoilt.fetch_add(1, Ordering::SeqCst);
                     self.record.add(&format!(
                         "wrong byte in piece {piece} of {id} at {}",
@@ -92,7 +103,7 @@
     lines.map(str::to_owned).collect()
 }
 
-pub(crate) fn run(site: &Site) -> Result<Verdict> {
+pub(crate) fn run(site: &Site, plan: Plan) -> Result<Verdict> {
     let (store, address) = Store::start()?;
     let zones = ["zone-a", "zone-b"];
     let mut engines = Vec::new();
@@ -101,6 +112,7 @@
         let at = listener.local_addr()?;
         let engine = Arc::new(Engine {
             name: format!("i-{index}"),
+            plan,
             faulty: AtomicBool::new(false),
             answers: AtomicU64::new(0),
             spoilt: AtomicU64::new(0),
