--- a/review/rig-2/extra.rs
+++ b/review/rig-2/extra.rs
@@ -10,7 +10,7 @@
 const BEFORE: Duration = Duration::from_secs(3);
 /// Length of one disruption, how often it comes, and the pause between two.
 const DOUBLED: Duration = Duration::from_millis(5_500);
-const TIMES: u32 = 12;
+const TIMES: u32 = 16;
 const PAUSE: Duration = Duration::from_millis(500);
 const AFTER: Duration = Duration::from_secs(2);
 /// One in this many answers of the faulty engine comes twice.
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -14,9 +14,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-mod cold;
 mod entry;
 mod extra;
+mod moves;
 mod spoilt;
 mod store;
 mod wire;
@@ -95,7 +95,7 @@
     record.add(&format!("case {case}, disruption {trouble}"));
     watch();
     let result = match case.as_str() {
-        "cold" => cold::run(&site),
+        "moves" => moves::run(&site),
         "extra" => extra::run(&site),
         "batch" => spoilt::run(
             &site,
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -22,6 +22,8 @@
     pub(crate) started: Instant,
     /// While set, all calls are answered with 503.
     pub(crate) down: AtomicBool,
+    /// The addresses at which entries are listed in place of their own, by name.
+    pub(crate) places: Mutex<BTreeMap<String, String>>,
 }
 
 impl Store {
@@ -33,6 +35,7 @@
             changed: Condvar::new(),
             started: Instant::now(),
             down: AtomicBool::new(false),
+            places: Mutex::default(),
         });
         let served = Arc::clone(&store);
         listen(listener, move |message, writer| {
@@ -44,6 +47,46 @@
         Ok((store, address))
     }
 
+    /// Serves the store at another address, for a machine that `cut` separates from it: what it sent before the
+    /// cut and what it sends meanwhile is not answered.
+    pub(crate) fn listen_cut(self: &Arc<Self>, cut: Arc<AtomicBool>) -> Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let served = Arc::clone(self);
+        listen(listener, move |message, writer| {
+            thread::sleep(Duration::from_millis(4));
+            let mut is_lost = cut.load(Ordering::SeqCst);
+            let answer = if is_lost {
+                Vec::new()
+            } else {
+                served.answer(&message)
+            };
+            while cut.load(Ordering::SeqCst) {
+                is_lost = true;
+                thread::sleep(Duration::from_millis(20));
+            }
+            if is_lost {
+                return Ok(false);
+            }
+            writer.write_all(&answer)?;
+            Ok(true)
+        });
+        Ok(address)
+    }
+
+    /// Lists an entry at the address of a forwarder, whatever it writes itself.
+    pub(crate) fn place_entry(&self, name: &str, address: &str) {
+        lock(&self.places).insert(name.into(), address.into());
+    }
+
+    /// Returns the text of a row, or an empty one.
+    pub(crate) fn text(&self, table: &str, key: &str) -> String {
+        let tables = lock(&self.tables);
+        let row = tables.rows.get(&(table.into(), key.into()));
+        let value = row.and_then(|row| row.value.as_deref()).unwrap_or_default();
+        String::from_utf8(base64_decode(value)).unwrap_or_default()
+    }
+
     pub(crate) fn now_ms(&self) -> f64 {
         self.started.elapsed().as_secs_f64() * 1_000.0
     }
@@ -153,7 +196,14 @@
         tables.version += 1;
         let version = tables.version;
         for row in call.get("puts").items() {
-            let value = Some(row.get("value").text().into());
+            let place = match row.get("table").text() {
+                "entries" => lock(&self.places).get(row.get("key").text()).cloned(),
+                _ => None,
+            };
+            let value = Some(match place {
+                Some(place) => base64(place.as_bytes()),
+                None => row.get("value").text().into(),
+            });
             let part = row.get("part").text().into();
             tables.rows.insert(
                 name(row),
--- a/review/rig-2/wire.rs
+++ b/review/rig-2/wire.rs
@@ -162,6 +162,27 @@
     text
 }
 
+pub(crate) fn base64_decode(text: &str) -> Vec<u8> {
+    let digit = |byte: u8| match byte {
+        b'A'..=b'Z' => Some(u32::from(byte - b'A')),
+        b'a'..=b'z' => Some(u32::from(byte - b'a') + 26),
+        b'0'..=b'9' => Some(u32::from(byte - b'0') + 52),
+        b'+' => Some(62),
+        b'/' => Some(63),
+        _ => None,
+    };
+    let (mut bytes, mut word, mut bits) = (Vec::new(), 0u32, 0);
+    for digit in text.bytes().filter_map(digit) {
+        word = word << 6 | digit;
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            bytes.push((word >> bits) as u8);
+        }
+    }
+    bytes
+}
+
 /// The head of a request or a response, with its body unless that is a stream.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Message {
