--- a/review/rig-2/moves.rs
+++ b/review/rig-2/moves.rs
@@ -300,9 +300,11 @@
     }
     thread::sleep(Duration::from_secs(2));
     let bad = lock(&world.bad);
-    let Some(&fiftieth) = bad.get(BAD_ANSWERS - 1) else {
-        return Err(format!("nothing to judge: only {} bad answers", bad.len()).into());
-    };
+    if bad.is_empty() {
+        return Err("nothing to judge: no bad answers".into());
+    }
+    // Without that many bad answers, the rule holds.
+    let fiftieth = bad.get(BAD_ANSWERS - 1).copied();
     let (arrivals, sent) = (lock(&world.arrivals), lock(&world.sent));
     let touch = cut_time.map(|time| time + CONTACT);
     let late = arrivals.iter().filter(|(id, _)| {
@@ -310,8 +312,9 @@
             Some(touch) if id.starts_with(&format!("{CUT_ENTRY:04x}")) => time > touch,
             _ => true,
         };
+        let is_late = |time: Instant| fiftieth.is_some_and(|fiftieth| time > fiftieth + ROLLBACK);
         sent.get(id)
-            .is_some_and(|&time| time > fiftieth + ROLLBACK && in_touch(time))
+            .is_some_and(|&time| is_late(time) && in_touch(time))
     });
     let late = late.count() as u64;
     Ok(Verdict {
