Forward the sound events before an invalid one

Cause: events that arrive together were checked as a whole. Their ids counted as received, but at an invalid one all were dropped, and the next target resumed after an event that the caller never got.

Change: events are accepted one by one; those before the invalid one are forwarded, then the stream resumes after them or is broken off.

--- a/crates/ebonylug-direct/src/events.rs
+++ b/crates/ebonylug-direct/src/events.rs
@@ -50,10 +50,26 @@
     }
 }
 
+/// The blank line after an event, with the line ending before it.
+const EVENT_END: &[u8] = b"\n\n";
+
 /// Returns the position after the last blank line.
 fn last_end(bytes: &[u8]) -> Option<usize> {
-    let position = bytes.windows(2).rposition(|pair| pair == b"\n\n")?;
-    Some(position + 2)
+    let position = bytes
+        .windows(EVENT_END.len())
+        .rposition(|pair| pair == EVENT_END)?;
+    Some(position + EVENT_END.len())
+}
+
+/// Splits complete events. Each item ends with its blank line.
+pub(crate) fn split_events(mut events: &[u8]) -> impl Iterator<Item = &[u8]> {
+    std::iter::from_fn(move || {
+        let mut pairs = events.windows(EVENT_END.len());
+        let end = pairs.position(|pair| pair == EVENT_END)? + EVENT_END.len();
+        let (event, rest) = events.split_at(end);
+        events = rest;
+        Some(event)
+    })
 }
 
 /// Returns the ids of complete events.
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -8,7 +8,7 @@
 
 use crate::attempt::{self, Failure, OpenResponse};
 use crate::entry::millis;
-use crate::events::{EventSplitter, event_ids, parse_id};
+use crate::events::{EventSplitter, event_ids, parse_id, split_events};
 use crate::forward::ForwardJob;
 use crate::response::Result;
 
@@ -23,6 +23,8 @@
     ready: Option<Bytes>,
     last_id: Option<u64>,
     count: u32,
+    /// Why the response is unusable after the events returned so far.
+    fault: Option<Box<str>>,
     /// Bytes of complete events since the last one with an id.
     unidentified: usize,
     /// When the first events arrived.
@@ -53,6 +55,7 @@
             ready: None,
             last_id: None,
             count: 0,
+            fault: None,
             unidentified: 0,
             first_at: Instant::now(),
             latest_at: Instant::now(),
@@ -92,6 +95,9 @@
         deadline: Instant,
         max_event: usize,
     ) -> Part {
+        if let Some(error) = self.fault.take() {
+            return Part::Broken(error);
+        }
         loop {
             let Ok(frame) = tokio::time::timeout_at(deadline, opened.body.frame()).await else {
                 return Part::Late;
@@ -114,7 +120,7 @@
             if self.splitter.len() > max_event {
                 return Part::Broken(format!("an event is larger than {max_event} bytes").into());
             }
-            let Some(events) = events else {
+            let Some(mut events) = events else {
                 continue;
             };
             self.count_unidentified(&events);
@@ -122,10 +128,18 @@
                 let error = format!("no event with an id in {max_event} bytes");
                 return Part::Broken(error.into());
             }
-            return match self.check_ids(&events) {
-                true => Part::Events(events),
-                false => Part::Broken("events are missing or out of order".into()),
-            };
+            let valid = self.accept_events(&events);
+            if valid == events.len() {
+                return Part::Events(events);
+            }
+            let error = "events are missing or out of order".into();
+            if valid == 0 {
+                return Part::Broken(error);
+            }
+            // The events before the invalid one reach the caller, since another target resumes after them.
+            self.fault = Some(error);
+            events.truncate(valid);
+            return Part::Events(events);
         }
     }
 
@@ -138,18 +152,31 @@
         }
     }
 
-    /// Reports whether the ids of the events continue without a gap.
-    fn check_ids(&mut self, events: &[u8]) -> bool {
-        for id in event_ids(events) {
+    /// Accepts events whose ids continue without a gap. Returns the length of the accepted ones, in bytes.
+    fn accept_events(&mut self, events: &[u8]) -> usize {
+        let mut accepted = 0;
+        for event in split_events(events) {
+            if !self.accept_event(event) {
+                break;
+            }
+            accepted += event.len();
+        }
+        accepted
+    }
+
+    fn accept_event(&mut self, event: &[u8]) -> bool {
+        let (mut last, mut count) = (self.last_id, self.count);
+        for id in event_ids(event) {
             let Some(id) = parse_id(id) else {
                 return false;
             };
-            if self.last_id.is_some_and(|last| id != last + 1) {
+            if last.is_some_and(|last| last.checked_add(1) != Some(id)) {
                 return false;
             }
-            self.last_id = Some(id);
-            self.count += 1;
+            last = Some(id);
+            count += 1;
         }
+        (self.last_id, self.count) = (last, count);
         true
     }
 
--- a/crates/ebonylug-direct/tests/streams.rs
+++ b/crates/ebonylug-direct/tests/streams.rs
@@ -67,6 +67,30 @@
     });
 }
 
+/// Guards against the loss of sound events that arrive together with an invalid one: the stream resumes after
+/// the last event that the caller received.
+#[test]
+fn a_stream_resumes_after_the_last_sound_event_of_a_batch() {
+    for (sound, batch) in [(1, 2), (2, 2), (4, 2), (3, 3), (5, 6)] {
+        run(async {
+            let together = events(sound..=sound + batch - 2) + &event(90);
+            let before: String = (1..sound).map(|id| chunk(&event(id))).collect();
+            let rest = chunk(&events(sound + batch..=12)) + "0\r\n\r\n";
+            let spoilt = stream_head("r1") + &before + &chunk(&together) + &rest;
+            let next = sound + batch - 1;
+            let script = vec![Step::Close(spoilt), Step::Send(complete_stream(next..=12))];
+            let [first, second] = ScriptedTarget::pair(script).await;
+            let harness = Harness::start(&[&first, &second]).await;
+            let response = harness.call(&get("stream", "r1")).await;
+            assert_eq!(data(&response), events(1..=12), "batch of {batch}");
+            let header = format!("x-last-event: {}\r\n", next - 1);
+            let requests = [&first, &second].map(|target| target.requests.borrow()[0].clone());
+            let resumed = requests.iter().any(|request| request.contains(&header));
+            assert!(resumed, "batch of {batch}: {requests:?}");
+        });
+    }
+}
+
 /// Guards against a stream that ends early and looks complete to the caller.
 #[test]
 fn a_broken_stream_that_cannot_resume_is_aborted() {
