Check the id of the first event of a stream

Cause: ids were compared with the id before, so that of the first event was taken as it came, and the stream resumed after it.

Change: the first event must have the id 1, or the one after the caller's last event. A response that starts with another id is a failed attempt.

--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -538,8 +538,7 @@
     let is_stream = request.route.kind.is_stream() && opened.head.status.is_success();
     if is_stream {
         let mut opened = opened;
-        let max_event = entry.bounds.get().responses.event;
-        let events = EventStream::start(&mut opened, request.deadline, max_event).await?;
+        let events = EventStream::start(entry, request, &mut opened).await?;
         if events.has_begun() {
             request.count_begun(entry);
         }
--- a/crates/ebonylug-direct/src/request.rs
+++ b/crates/ebonylug-direct/src/request.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use ebonylug_core::{CrashCause, CrashCauses, Fingerprint, Name};
-use ebonylug_dispatch::{Config, Organisation, Reason, Refusal, Route};
+use ebonylug_dispatch::{Config, Organisation, Reason, Refusal, Route, RouteKind};
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header};
@@ -305,6 +305,26 @@
         (!ids.is_empty()).then(|| ids.join(","))
     }
 
+    /// Returns the id that the first event of the response must have: 1, or the one after the last event that
+    /// the caller received. Returns `None` if targets may start anywhere.
+    pub(crate) fn first_event_id(&self, dialect: &Dialect) -> Option<u64> {
+        let Some(last) = self.headers.get(&dialect.last_event) else {
+            return Some(1);
+        };
+        match self.route.kind {
+            RouteKind::Stream {
+                resumable: true, ..
+            } => last
+                .to_str()
+                .ok()?
+                .trim()
+                .parse::<u64>()
+                .ok()?
+                .checked_add(1),
+            RouteKind::Stream { .. } | RouteKind::Safe | RouteKind::Once => None,
+        }
+    }
+
     /// Returns the rank of the route, where 0 is the most urgent. The organisation's priority is not
     /// used: every organisation sends requests of all kinds, and the cost of a refusal depends on the
     /// kind. Under high load, ranking by organisation served 0.76 of the requests instead of 0.94.
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -7,9 +7,10 @@
 use tokio::time::Instant;
 
 use crate::attempt::{self, Failure, OpenResponse};
-use crate::entry::millis;
+use crate::entry::{Entry, millis};
 use crate::events::{EventSplitter, event_ids, parse_id, split_events};
 use crate::forward::ForwardJob;
+use crate::request::BufferedRequest;
 use crate::response::Result;
 
 /// The number of events after which the latencies of a stream are recorded. Some streams of a slow version
@@ -22,6 +23,8 @@
     /// Complete events that are not forwarded yet.
     ready: Option<Bytes>,
     last_id: Option<u64>,
+    /// The id that the next event must have. `None` if the first event may have any id.
+    next_id: Option<u64>,
     count: u32,
     /// Why the response is unusable after the events returned so far.
     fault: Option<Box<str>>,
@@ -46,14 +49,16 @@
 impl EventStream {
     /// Waits for the first complete event.
     pub(crate) async fn start(
+        entry: &Entry,
+        request: &BufferedRequest,
         opened: &mut OpenResponse,
-        deadline: Instant,
-        max_event: usize,
     ) -> attempt::Result<Self> {
+        let max_event = entry.bounds.get().responses.event;
         let mut events = EventStream {
             splitter: EventSplitter::default(),
             ready: None,
             last_id: None,
+            next_id: request.first_event_id(&entry.dialect),
             count: 0,
             fault: None,
             unidentified: 0,
@@ -61,7 +66,7 @@
             latest_at: Instant::now(),
             longest_gap: Duration::ZERO,
         };
-        match events.next_part(opened, deadline, max_event).await {
+        match events.next_part(opened, request.deadline, max_event).await {
             Part::Events(bytes) => {
                 opened.slot.finish_prefill();
                 events.first_at = Instant::now();
@@ -165,18 +170,19 @@
     }
 
     fn accept_event(&mut self, event: &[u8]) -> bool {
-        let (mut last, mut count) = (self.last_id, self.count);
+        let (mut last, mut next, mut count) = (self.last_id, self.next_id, self.count);
         for id in event_ids(event) {
             let Some(id) = parse_id(id) else {
                 return false;
             };
-            if last.is_some_and(|last| last.checked_add(1) != Some(id)) {
+            if next.is_some_and(|next| next != id) {
                 return false;
             }
             last = Some(id);
+            next = Some(id.saturating_add(1));
             count += 1;
         }
-        (self.last_id, self.count) = (last, count);
+        (self.last_id, self.next_id, self.count) = (last, next, count);
         true
     }
 
--- a/crates/ebonylug-direct/tests/streams.rs
+++ b/crates/ebonylug-direct/tests/streams.rs
@@ -91,6 +91,45 @@
     }
 }
 
+/// Guards against a first event with a wrong id, which would make the stream resume too far.
+#[test]
+fn a_stream_starts_with_the_first_event_that_the_caller_lacks() {
+    for (name, header, wrong, first) in [
+        ("a new stream", "", 9, 1),
+        ("a new stream, next id", "", 2, 1),
+        ("a new stream, id 0", "", 0, 1),
+        ("a resumed stream", "x-last-event: 4\r\n", 1, 5),
+        ("a resumed stream, same event", "x-last-event: 4\r\n", 4, 5),
+        ("a resumed stream, later event", "x-last-event: 4\r\n", 6, 5),
+    ] {
+        run(async {
+            let rest = chunk(&events(first + 1..=12)) + "0\r\n\r\n";
+            let spoilt = stream_head("r1") + &chunk(&event(wrong)) + &rest;
+            let script = vec![
+                Step::Close(spoilt.clone()),
+                Step::Send(complete_stream(first..=12)),
+            ];
+            let [one, two] = ScriptedTarget::pair(script).await;
+            let harness = Harness::start(&[&one, &two]).await;
+            let request = get("stream", "r1").replace("x-deadline", &format!("{header}x-deadline"));
+            let response = harness.call(&request).await;
+            assert_eq!(data(&response), events(first..=12), "{name}");
+        });
+    }
+}
+
+/// Guards against a first event with a wrong id on a route whose streams cannot resume.
+#[test]
+fn a_stream_that_starts_with_a_wrong_id_and_cannot_resume_is_a_failure() {
+    run(async {
+        let spoilt = stream_head("r1") + &chunk(&events(9..=9)) + "0\r\n\r\n";
+        let target = ScriptedTarget::start("engine-1", vec![Step::Send(spoilt)]).await;
+        let harness = Harness::start(&[&target]).await;
+        let response = harness.call(&get("plainstream", "r1")).await;
+        assert_eq!(status(&response), 502, "{response}");
+    });
+}
+
 /// Guards against a stream that ends early and looks complete to the caller.
 #[test]
 fn a_broken_stream_that_cannot_resume_is_aborted() {
