Write out forwarded events before a stream is aborted

What callers saw: a stream that broke at the moment at which its first events arrived was a closed connection, without the head and the sound events.

Cause: an error of the body makes the HTTP library close the connection at once, with what it has buffered but not written.

Change: the error follows one turn of the event loop later, after the write.

Result: the_sound_events_of_a_broken_stream_reach_the_caller failed before (no byte arrived) and passes.

--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -219,7 +219,11 @@
         let mut state = state?;
         match state.next().await {
             Some(Ok(bytes)) => Some((Ok(bytes), Some(state))),
-            Some(Err(error)) => Some((Err(error), None)),
+            Some(Err(error)) => {
+                // An error drops what hyper has buffered, which it writes once the body is pending.
+                tokio::task::yield_now().await;
+                Some((Err(error), None))
+            }
             None => None,
         }
     });
--- a/crates/ebonylug-direct/tests/streams.rs
+++ b/crates/ebonylug-direct/tests/streams.rs
@@ -91,6 +91,22 @@
     }
 }
 
+/// Guards against an aborted response without its head and the sound events, which arrived at the same time as
+/// the invalid one.
+#[test]
+fn the_sound_events_of_a_broken_stream_reach_the_caller() {
+    run(async {
+        let batch = chunk(&(events(1..=2) + &event(4)));
+        let step = Step::Send(stream_head("r1") + &batch);
+        let target = ScriptedTarget::start("engine-1", vec![step]).await;
+        let harness = Harness::start(&[&target]).await;
+        let response = harness.call(&get("plainstream", "r1")).await;
+        assert_eq!(status(&response), 200, "{response}");
+        assert_eq!(data(&response), events(1..=2));
+        assert!(!response.ends_with("0\r\n\r\n"), "{response}");
+    });
+}
+
 /// Guards against a first event with a wrong id, which would make the stream resume too far.
 #[test]
 fn a_stream_starts_with_the_first_event_that_the_caller_lacks() {
