Check the fields of each event of a stream

Cause: the entry looked for lines that begin with "id:" only. Two ids in one event counted as two events, and an event without an id as a comment.

Change: EventSequence accepts an event only with one canonical id, the next one, with data and known fields. Dialect::event_fields names the headers that events may repeat.

--- a/crates/ebonylug-direct/src/dialect.rs
+++ b/crates/ebonylug-direct/src/dialect.rs
@@ -32,6 +32,8 @@
     /// In responses of targets: the running and waiting requests, the slots, and possibly how long work takes
     /// on the machine now in percent of the usual time, separated by commas.
     pub server_load: HeaderName,
+    /// Headers whose values targets may repeat in events of a stream, as fields with the name in lower case.
+    pub event_fields: Vec<HeaderName>,
     /// Headers that only the system may set; those sent by callers are dropped.
     pub reserved: Vec<HeaderName>,
     /// The path of the load balancer's health check.
@@ -39,6 +41,12 @@
 }
 
 impl Dialect {
+    /// Reports whether events may have a field of this name besides those of the standard.
+    pub(crate) fn allows_field(&self, field: &[u8]) -> bool {
+        let mut names = self.event_fields.iter();
+        names.any(|name| name.as_str().as_bytes() == field)
+    }
+
     /// Reports whether a caller's header is forwarded to targets.
     #[must_use]
     pub fn forwards(&self, name: &HeaderName) -> bool {
--- a/crates/ebonylug-direct/src/events.rs
+++ b/crates/ebonylug-direct/src/events.rs
@@ -71,16 +71,3 @@
         Some(event)
     })
 }
-
-/// Returns the ids of complete events.
-pub(crate) fn event_ids(events: &[u8]) -> impl Iterator<Item = &[u8]> {
-    events.split(|&byte| byte == b'\n').filter_map(|line| {
-        let id = line.strip_prefix(b"id:")?;
-        Some(id.trim_ascii())
-    })
-}
-
-/// Parses the id of an event as a number.
-pub(crate) fn parse_id(id: &[u8]) -> Option<u64> {
-    std::str::from_utf8(id).ok()?.parse().ok()
-}
--- a/crates/ebonylug-direct/src/lib.rs
+++ b/crates/ebonylug-direct/src/lib.rs
@@ -43,6 +43,7 @@
 mod read_limits;
 mod request;
 mod response;
+mod sequence;
 pub mod server;
 pub mod server_load;
 mod slot;
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -7,11 +7,13 @@
 use tokio::time::Instant;
 
 use crate::attempt::{self, Failure, OpenResponse};
+use crate::dialect::Dialect;
 use crate::entry::{Entry, millis};
-use crate::events::{EventSplitter, event_ids, parse_id, split_events};
+use crate::events::{EventSplitter, split_events};
 use crate::forward::ForwardJob;
 use crate::request::BufferedRequest;
 use crate::response::Result;
+use crate::sequence::EventSequence;
 
 /// The number of events after which the latencies of a stream are recorded. Some streams of a slow version
 /// last as long as the move.
@@ -22,13 +24,10 @@
     splitter: EventSplitter,
     /// Complete events that are not forwarded yet.
     ready: Option<Bytes>,
-    last_id: Option<u64>,
-    /// The id that the next event must have. `None` if the first event may have any id.
-    next_id: Option<u64>,
-    count: u32,
+    sequence: EventSequence,
     /// Why the response is unusable after the events returned so far.
     fault: Option<Box<str>>,
-    /// Bytes of complete events since the last one with an id.
+    /// Bytes since the last event, which callers ignore.
     unidentified: usize,
     /// When the first events arrived.
     first_at: Instant,
@@ -38,6 +37,23 @@
     longest_gap: Duration,
 }
 
+/// What events are checked against.
+#[derive(Clone, Copy)]
+struct EventLimits<'a> {
+    dialect: &'a Dialect,
+    /// The maximum size of an event, and of what callers ignore between two events, in bytes.
+    max_event: usize,
+}
+
+impl<'a> EventLimits<'a> {
+    fn of(entry: &'a Entry) -> Self {
+        EventLimits {
+            dialect: &entry.dialect,
+            max_event: entry.bounds.get().responses.event,
+        }
+    }
+}
+
 /// The result of reading the next part of a body.
 enum Part {
     Events(Bytes),
@@ -53,20 +69,18 @@
         request: &BufferedRequest,
         opened: &mut OpenResponse,
     ) -> attempt::Result<Self> {
-        let max_event = entry.bounds.get().responses.event;
+        let limits = EventLimits::of(entry);
         let mut events = EventStream {
             splitter: EventSplitter::default(),
             ready: None,
-            last_id: None,
-            next_id: request.first_event_id(&entry.dialect),
-            count: 0,
+            sequence: EventSequence::new(request.first_event_id(&entry.dialect)),
             fault: None,
             unidentified: 0,
             first_at: Instant::now(),
             latest_at: Instant::now(),
             longest_gap: Duration::ZERO,
         };
-        match events.next_part(opened, request.deadline, max_event).await {
+        match events.next_part(opened, request.deadline, limits).await {
             Part::Events(bytes) => {
                 opened.slot.finish_prefill();
                 events.first_at = Instant::now();
@@ -98,7 +112,7 @@
         &mut self,
         opened: &mut OpenResponse,
         deadline: Instant,
-        max_event: usize,
+        limits: EventLimits<'_>,
     ) -> Part {
         if let Some(error) = self.fault.take() {
             return Part::Broken(error);
@@ -111,7 +125,7 @@
                 None if !self.splitter.is_empty() => {
                     return Part::Broken("the response ends within an event".into());
                 }
-                None if self.count == 0 && !opened.is_framed() => {
+                None if self.sequence.count() == 0 && !opened.is_framed() => {
                     return Part::Broken("the response ends before its first event".into());
                 }
                 None => return Part::End,
@@ -122,22 +136,17 @@
                 },
             };
             let events = self.splitter.push(bytes);
-            if self.splitter.len() > max_event {
-                return Part::Broken(format!("an event is larger than {max_event} bytes").into());
+            if self.splitter.len() > limits.max_event {
+                let error = format!("an event is larger than {} bytes", limits.max_event);
+                return Part::Broken(error.into());
             }
             let Some(mut events) = events else {
                 continue;
             };
-            self.count_unidentified(&events);
-            if self.unidentified > max_event {
-                let error = format!("no event with an id in {max_event} bytes");
-                return Part::Broken(error.into());
-            }
-            let valid = self.accept_events(&events);
-            if valid == events.len() {
+            let (valid, error) = self.accept_events(&events, limits);
+            let Some(error) = error else {
                 return Part::Events(events);
-            }
-            let error = "events are missing or out of order".into();
+            };
             if valid == 0 {
                 return Part::Broken(error);
             }
@@ -148,42 +157,27 @@
         }
     }
 
-    /// Counts the bytes of events since the last one with an id.
-    fn count_unidentified(&mut self, events: &[u8]) {
-        if event_ids(events).next().is_some() {
-            self.unidentified = 0;
-        } else {
-            self.unidentified += events.len();
-        }
-    }
-
-    /// Accepts events whose ids continue without a gap. Returns the length of the accepted ones, in bytes.
-    fn accept_events(&mut self, events: &[u8]) -> usize {
+    /// Accepts events up to the first invalid one. Returns their length in bytes, and why the next one is
+    /// invalid.
+    fn accept_events(
+        &mut self,
+        events: &[u8],
+        limits: EventLimits<'_>,
+    ) -> (usize, Option<Box<str>>) {
         let mut accepted = 0;
         for event in split_events(events) {
-            if !self.accept_event(event) {
-                break;
+            match self.sequence.accept(event, limits.dialect) {
+                Ok(true) => self.unidentified = 0,
+                Ok(false) => self.unidentified += event.len(),
+                Err(error) => return (accepted, Some(error.to_string().into())),
             }
-            accepted += event.len();
-        }
-        accepted
-    }
-
-    fn accept_event(&mut self, event: &[u8]) -> bool {
-        let (mut last, mut next, mut count) = (self.last_id, self.next_id, self.count);
-        for id in event_ids(event) {
-            let Some(id) = parse_id(id) else {
-                return false;
-            };
-            if next.is_some_and(|next| next != id) {
-                return false;
+            if self.unidentified > limits.max_event {
+                let error = format!("no event with an id in {} bytes", limits.max_event);
+                return (accepted, Some(error.into()));
             }
-            last = Some(id);
-            next = Some(id.saturating_add(1));
-            count += 1;
+            accepted += event.len();
         }
-        (self.last_id, self.next_id, self.count) = (last, next, count);
-        true
+        (accepted, None)
     }
 
     /// Combines the stream with its request, so that it can resume at another target.
@@ -211,10 +205,10 @@
         }
         loop {
             let mut opened = self.opened.take()?;
-            let max_event = self.job.entry.bounds.get().responses.event;
+            let limits = EventLimits::of(&self.job.entry);
             let part = self
                 .events
-                .next_part(&mut opened, self.job.request.deadline, max_event)
+                .next_part(&mut opened, self.job.request.deadline, limits)
                 .await;
             let error = match part {
                 Part::Events(bytes) => {
@@ -223,7 +217,7 @@
                     let gap = now.duration_since(self.events.latest_at);
                     self.events.longest_gap = self.events.longest_gap.max(gap);
                     self.events.latest_at = now;
-                    if self.events.count >= EARLY_EVENTS {
+                    if self.events.sequence.count() >= EARLY_EVENTS {
                         self.record_latency(&opened);
                     }
                     self.opened = Some(opened);
@@ -249,7 +243,7 @@
                 request = job.request.id.to_str().unwrap_or_default(),
                 target = job.entry.target_name(target),
                 prompt_parts = job.request.shared_part_ids(&job.entry.dialect),
-                last = self.events.last_id,
+                last = self.events.sequence.last(),
                 %error,
                 "stream interrupted"
             );
@@ -271,7 +265,7 @@
             part = "request",
             request = request.id.to_str().unwrap_or_default(),
             route = %request.route.name,
-            events = self.events.count,
+            events = self.events.sequence.count(),
             attempts = self.job.attempts(),
             error,
             "broken off"
@@ -279,7 +273,7 @@
     }
 
     async fn resume(&mut self) -> bool {
-        let last = self.events.last_id.map(HeaderValue::from);
+        let last = self.events.sequence.last().map(HeaderValue::from);
         let resumed = self.job.resume(last.as_ref()).await;
         self.events.splitter = EventSplitter::default();
         self.opened = resumed;
@@ -306,7 +300,7 @@
             queue_ms = millis(opened.sent.duration_since(request.arrived)),
             first_ms = millis(first),
             pause_ms = millis(self.events.longest_gap),
-            events = self.events.count,
+            events = self.events.sequence.count(),
             attempts = self.job.attempts(),
             "{}",
             if late { "late stream" } else { "served stream" }
@@ -320,7 +314,8 @@
             return;
         };
         let between = events.latest_at.duration_since(events.first_at);
-        let interval = (events.count > 1).then(|| between / (events.count - 1));
+        let interval =
+            (events.sequence.count() > 1).then(|| between / (events.sequence.count() - 1));
         let request = &self.job.request;
         let prompt = request.prompt_tokens(&self.job.entry.dialect);
         let latency = ResponseLatency::of_stream(first, prompt, interval);
@@ -342,11 +337,11 @@
             .record_request(kind, "served", "", time);
         opened.slot.set_outcome(Outcome::Answered);
         self.record_latency(&opened);
-        if self.events.count > 1 {
+        if self.events.sequence.count() > 1 {
             let time = self.events.first_at.elapsed().as_secs_f64();
             opened
                 .slot
-                .set_pace(time / f64::from(self.events.count - 1));
+                .set_pace(time / f64::from(self.events.sequence.count() - 1));
         }
         self.job.entry.release_connection(opened.connection);
     }
--- a/crates/ebonylug-direct/tests/common/mod.rs
+++ b/crates/ebonylug-direct/tests/common/mod.rs
@@ -51,6 +51,7 @@
         leaving: name("x-leaving"),
         rate_limit: name("x-limit"),
         server_load: name("x-load"),
+        event_fields: vec![name("x-version")],
         reserved: vec![name("x-reserved")],
         ready_path: "/ready".into(),
     }
@@ -164,6 +165,26 @@
     format!("id: {id}\ndata: piece {id}\n\n")
 }
 
+/// Decodes the chunked body of a response.
+pub fn data(response: &str) -> String {
+    let mut rest = response.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    let mut data = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).expect("a chunk size");
+        if size == 0 || after.len() < size {
+            break;
+        }
+        data += &after[..size];
+        rest = after[size..].strip_prefix("\r\n").unwrap_or("");
+    }
+    data
+}
+
+/// Returns several events.
+pub fn events(ids: std::ops::RangeInclusive<u32>) -> String {
+    ids.map(event).collect()
+}
+
 /// Returns a listed target at an address on which nothing listens.
 pub fn unreachable_target() -> Target {
     Target {
--- a/crates/ebonylug-direct/tests/streams.rs
+++ b/crates/ebonylug-direct/tests/streams.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::{
-    Harness, ScriptedTarget, Step, chunk, event, get, run, status, stream_head, wait_until,
+    Harness, ScriptedTarget, Step, chunk, data, event, events, get, run, status, stream_head,
+    wait_until,
 };
 use ebonylug_direct::EventSplitter;
 
@@ -12,25 +13,6 @@
     stream_head("r1") + &chunks + "0\r\n\r\n"
 }
 
-/// Decodes the chunked body of a response.
-fn data(response: &str) -> String {
-    let mut rest = response.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-    let mut data = String::new();
-    while let Some((size, after)) = rest.split_once("\r\n") {
-        let size = usize::from_str_radix(size, 16).expect("a chunk size");
-        if size == 0 || after.len() < size {
-            break;
-        }
-        data += &after[..size];
-        rest = after[size..].strip_prefix("\r\n").unwrap_or("");
-    }
-    data
-}
-
-fn events(ids: std::ops::RangeInclusive<u32>) -> String {
-    ids.map(event).collect()
-}
-
 /// Guards against events that are changed, merged or delayed.
 #[test]
 fn a_stream_is_forwarded_unchanged() {
--- a/crates/ebonylugctl/tests/state.rs
+++ b/crates/ebonylugctl/tests/state.rs
@@ -43,6 +43,7 @@
         leaving: name.clone(),
         rate_limit: name.clone(),
         server_load: name,
+        event_fields: Vec::new(),
         reserved: Vec::new(),
         ready_path: "/ready".into(),
     }
