Take an answer without a length for complete only after a clean end

What callers would see: a part of an early answer as a whole one, if its engine ends its side and resets the connection during a long upload (MIXED).

Cause: hyper reports the end of such a body alike after a clean end and after a failed write, and the entry did not look at the connection.

Change: ExchangeState records the end of the request and of the response at the socket. Without a length, a body is complete only if both ended without an error. The macro for writes had one user left and is gone.

--- a/crates/ebonylug-direct/src/attempt.rs
+++ b/crates/ebonylug-direct/src/attempt.rs
@@ -28,6 +28,8 @@
     pub(crate) slot: SlotGuard,
     /// When the request was sent.
     pub(crate) sent: Instant,
+    /// Whether the end of the body can be told from a closed connection.
+    is_framed: bool,
 }
 
 /// Why an attempt returned no response for the caller.
@@ -141,8 +143,11 @@
             "the response has no valid signature".into(),
         ));
     }
+    // A response without a body, such as one with the status 204, ends with its head.
+    let is_framed = is_framed(&head) || body.is_end_stream();
     Ok(OpenResponse {
         head,
+        is_framed,
         body,
         connection,
         slot,
@@ -185,8 +190,7 @@
     }
 }
 
-/// Reports whether the end of a body can be told from a closed connection: its head announces a length or
-/// chunks.
+/// Reports whether a head announces the length of its body, or chunks.
 pub(crate) fn is_framed(head: &Parts) -> bool {
     let headers = &head.headers;
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
@@ -195,7 +199,12 @@
 impl OpenResponse {
     /// Reports whether the end of the body can be told from a closed connection.
     pub(crate) fn is_framed(&self) -> bool {
-        is_framed(&self.head)
+        self.is_framed
+    }
+
+    /// Reports whether a body that has ended is complete.
+    pub(crate) fn has_whole_body(&self) -> bool {
+        self.is_framed() || self.connection.is_complete()
     }
 
     /// Reports whether the response shows that the request ran: the target has signed it.
@@ -215,6 +224,7 @@
             connection,
             slot,
             sent,
+            is_framed,
         } = self;
         let buffer = new_buffer(entry, entry.bounds.get().responses, &body);
         let mut buffer = buffer.map_err(|error| {
@@ -222,7 +232,13 @@
             Failure::Unknown(error.to_string().into())
         })?;
         let read = collect(entry, &mut buffer, body);
-        match tokio::time::timeout_at(request.deadline, read).await {
+        let read = tokio::time::timeout_at(request.deadline, read).await;
+        let is_whole = is_framed || connection.is_complete();
+        match read {
+            Ok(Ok(())) if !is_whole => {
+                slot.set_outcome(Outcome::Broken);
+                Err(Failure::Unknown("the connection broke off".into()))
+            }
             Ok(Ok(())) => {
                 let failed = head.status.is_server_error();
                 slot.set_outcome(if failed {
--- a/crates/ebonylug-direct/src/head_timeout.rs
+++ b/crates/ebonylug-direct/src/head_timeout.rs
@@ -11,12 +11,10 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
 
-use crate::write_forwarding::forward_writes;
-
 /// Tracks whether a connection is in the middle of a head.
 #[derive(Debug, Default)]
 pub(crate) struct HeadState {
@@ -100,4 +98,32 @@
     }
 }
 
-forward_writes!(HeadTimeoutStream);
+impl AsyncWrite for HeadTimeoutStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
--- a/crates/ebonylug-direct/src/lib.rs
+++ b/crates/ebonylug-direct/src/lib.rs
@@ -53,7 +53,6 @@
 pub mod table_cache;
 mod uptime;
 mod waiting;
-mod write_forwarding;
 
 pub use dialect::Dialect;
 pub use entry::{Bounds, Entry, Settings};
--- a/crates/ebonylug-direct/src/pool.rs
+++ b/crates/ebonylug-direct/src/pool.rs
@@ -14,7 +14,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::read_limits::{HeadAllowance, LimitedStream};
+use crate::read_limits::{ExchangeState, LimitedStream};
 
 /// Timeout for establishing a connection. A lost SYN is retransmitted only after one second, which is
 /// too late for most requests, so another target is tried instead.
@@ -42,7 +42,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
-    head: HeadAllowance,
+    exchange: ExchangeState,
     task: AbortHandle,
 }
 
@@ -185,20 +185,27 @@
         self.reused
     }
 
+    /// Reports whether the target has taken the whole request and then closed the connection without an error.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.connection.exchange.is_complete()
+    }
+
     /// Sends a request and waits for the head of the response, which may have `max_head` bytes.
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
         max_head: usize,
     ) -> Result<Response<Incoming>> {
-        let Connection { sender, head, .. } = &mut self.connection;
+        let Connection {
+            sender, exchange, ..
+        } = &mut self.connection;
         if sender.ready().await.is_err() {
             return Err(Error::Unsent);
         }
-        head.start(max_head);
+        exchange.start(max_head);
         match sender.try_send_request(request).await {
             Ok(response) => {
-                head.finish();
+                exchange.finish_head();
                 self.idle_time = idle_time(response.headers());
                 Ok(response)
             }
@@ -206,7 +213,7 @@
                 Some(_) => Err(Error::Unsent),
                 None => {
                     let error = error.into_error();
-                    if error.is_parse() || head.is_exceeded() {
+                    if error.is_parse() || exchange.is_exceeded() {
                         return Err(Error::Malformed(error));
                     }
                     Err(Error::Lost(error))
@@ -242,8 +249,8 @@
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
     set_keepalive(&stream, ACK_TIMEOUT)?;
-    let head = HeadAllowance::new();
-    let stream = LimitedStream::new(stream, head.clone());
+    let exchange = ExchangeState::default();
+    let stream = LimitedStream::new(stream, exchange.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -255,7 +262,7 @@
     });
     Ok(Connection {
         sender,
-        head,
+        exchange,
         task: task.abort_handle(),
     })
 }
--- a/crates/ebonylug-direct/src/read_limits.rs
+++ b/crates/ebonylug-direct/src/read_limits.rs
@@ -17,11 +17,10 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use tokio::io::{AsyncRead, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::memory::{BodyKind, MemoryBudget, MemoryLimit, MemoryShare};
-use crate::write_forwarding::forward_writes;
 
 /// Limits on the responses of targets, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -172,42 +171,68 @@
     }
 }
 
-/// The bytes that may still be read from a connection before the head of a response is complete.
-#[derive(Clone, Debug)]
-pub(crate) struct HeadAllowance(Rc<Cell<usize>>);
+/// What the connection to a target tells about the exchange of a request and its response.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ExchangeState(Rc<Exchange>);
 
-impl HeadAllowance {
-    pub(crate) fn new() -> Self {
-        HeadAllowance(Rc::new(Cell::new(usize::MAX)))
-    }
+#[derive(Debug, Default)]
+struct Exchange {
+    /// The bytes that may still be read before the head of the response is complete, if they are limited.
+    allowance: Cell<Option<usize>>,
+    /// Whether the whole request was written to the socket.
+    is_written: Cell<bool>,
+    has_unflushed: Cell<bool>,
+    /// Whether the target has ended its side.
+    is_ended: Cell<bool>,
+    has_failed: Cell<bool>,
+}
 
-    /// Limits the bytes until the next head is complete.
-    pub(crate) fn start(&self, limit: usize) {
-        self.0.set(limit);
+impl ExchangeState {
+    /// Starts an exchange, with a limit on the bytes until the head of the response is complete.
+    pub(crate) fn start(&self, max_head: usize) {
+        self.0.allowance.set(Some(max_head));
+        self.0.is_written.set(false);
     }
 
     /// Ends the limit, since the head is complete.
-    pub(crate) fn finish(&self) {
-        self.0.set(usize::MAX);
+    pub(crate) fn finish_head(&self) {
+        self.0.allowance.set(None);
     }
 
     /// Reports whether a head was larger than the limit.
     pub(crate) fn is_exceeded(&self) -> bool {
-        self.0.get() == 0
+        self.0.allowance.get() == Some(0)
+    }
+
+    /// Reports whether the target took the whole request and then ended the connection without an error. Only
+    /// then is a response complete whose head does not tell where it ends.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.0.is_written.get() && self.0.is_ended.get() && !self.0.has_failed.get()
     }
 }
 
-/// A connection to a target whose reads fail if a head is too large. hyper limits the size of one head,
-/// but not the number of informational heads before it.
+/// A connection to a target whose reads fail if a head is too large, and which records how it ends. hyper limits
+/// the size of one head, but not the number of informational heads before it. It reports the end of a body
+/// without a length in the same way whether the connection was closed or a write has failed.
 #[derive(Debug)]
 pub(crate) struct LimitedStream {
     stream: TcpStream,
-    allowance: HeadAllowance,
+    state: ExchangeState,
 }
 
 impl LimitedStream {
-    pub(crate) fn new(stream: TcpStream, allowance: HeadAllowance) -> Self {
-        LimitedStream { stream, allowance }
+    pub(crate) fn new(stream: TcpStream, state: ExchangeState) -> Self {
+        LimitedStream { stream, state }
+    }
+
+    fn record_write(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let exchange = &self.state.0;
+        match &result {
+            Poll::Ready(Ok(_)) => exchange.has_unflushed.set(true),
+            Poll::Ready(Err(_)) => exchange.has_failed.set(true),
+            Poll::Pending => {}
+        }
+        result
     }
 }
 
@@ -218,20 +243,63 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        if this.allowance.is_exceeded() {
+        if this.state.is_exceeded() {
             return Poll::Ready(Err(io::Error::other(
                 "the head of the response is too large",
             )));
         }
         let before = buffer.filled().len();
+        let has_room = buffer.remaining() > 0;
         let read = Pin::new(&mut this.stream).poll_read(cx, buffer);
         let count = buffer.filled().len() - before;
-        let left = this.allowance.0.get();
-        if left < usize::MAX {
-            this.allowance.0.set(left.saturating_sub(count));
+        let exchange = &this.state.0;
+        match &read {
+            Poll::Ready(Ok(())) if count == 0 && has_room => exchange.is_ended.set(true),
+            Poll::Ready(Err(_)) => exchange.has_failed.set(true),
+            Poll::Ready(Ok(())) | Poll::Pending => {}
+        }
+        if let Some(left) = exchange.allowance.get() {
+            exchange.allowance.set(Some(left.saturating_sub(count)));
         }
         read
     }
 }
 
-forward_writes!(LimitedStream);
+impl AsyncWrite for LimitedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let result = Pin::new(&mut this.stream).poll_write(cx, bytes);
+        this.record_write(result)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let result = Pin::new(&mut this.stream).poll_write_vectored(cx, bytes);
+        this.record_write(result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    // hyper flushes the stream when it has written all that it holds of a request.
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if this.state.0.has_unflushed.replace(false) {
+            this.state.0.is_written.set(true);
+        }
+        Pin::new(&mut this.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -128,6 +128,9 @@
                 None if self.sequence.count() == 0 && !opened.is_framed() => {
                     return Part::Broken("the response ends before its first event".into());
                 }
+                None if !opened.has_whole_body() => {
+                    return Part::Broken("the connection broke off".into());
+                }
                 None => return Part::End,
                 Some(Err(error)) => return Part::Broken(error.to_string().into()),
                 Some(Ok(frame)) => match frame.into_data() {
--- a/crates/ebonylug-direct/tests/requests.rs
+++ b/crates/ebonylug-direct/tests/requests.rs
@@ -414,3 +414,22 @@
         assert_eq!(target.request_count(), 1);
     });
 }
+
+/// Guards against a response without a body that is taken for one that broke off, since it has no length.
+#[test]
+fn a_response_without_body_and_length_is_complete() {
+    run(async {
+        let head = response("r1", "204 No Content", "x-signature: s\r\n", "");
+        let head = head.replace("content-length: 0\r\n", "");
+        let target = ScriptedTarget::start("engine-1", vec![Step::Send(head)]).await;
+        let harness = Harness::start(&[&target]).await;
+        for route in ["safe", "once", "plainstream"] {
+            let mut caller = harness.connect().await;
+            let request = get(route, "r1").replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n");
+            let sent = caller.write_all(request.as_bytes()).await;
+            sent.expect("send the request");
+            let response = read_response(&mut caller).await;
+            assert_eq!(status(&response), 204, "{route}: {response}");
+        }
+    });
+}
