Reject a status that is none of HTTP's final ones

Cause: each status that http::StatusCode can hold was forwarded, and hyper reads no body after a 204.

Change: attempt::open takes 200 to 599 only, and no 204 that announces a body.

--- a/crates/ebonylug-direct/src/attempt.rs
+++ b/crates/ebonylug-direct/src/attempt.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use ebonylug_dispatch::{Outcome, ResponseLatency, TargetKey};
 use http::response::Parts;
-use http::{HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use tokio::time::Instant;
@@ -111,6 +111,11 @@
         }
     };
     let (head, body) = response.into_parts();
+    if !is_valid_status(&head) {
+        slot.set_outcome(Outcome::Broken);
+        let error = format!("the status {} is invalid", head.status.as_u16());
+        return Err(Failure::Unknown(error.into()));
+    }
     if let Some(cold) = header_number(&head.headers, &dialect.cold_time) {
         entry.mark_cold(target, Duration::from_millis(cold));
     }
@@ -173,6 +178,20 @@
     (rate.is_finite() && rate >= 0.0).then_some(rate)
 }
 
+/// Reports whether a status ends a request and fits the head. A wrong byte may turn another status into 204,
+/// and hyper then drops the body.
+fn is_valid_status(head: &Parts) -> bool {
+    match head.status.as_u16() {
+        204 => !has_body_fields(&head.headers),
+        status => (200..600).contains(&status),
+    }
+}
+
+fn has_body_fields(headers: &HeaderMap) -> bool {
+    let length = headers.get(header::CONTENT_LENGTH);
+    length.is_some_and(|length| length != "0") || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Reads the rest of a short response, so that its connection can be reused. If that takes
 /// too long, the connection is closed.
 async fn drain(entry: &Entry, body: Incoming, connection: PooledConnection) {
