Close a connection after a response that does not echo its request

Cause: a copy of an earlier response without an id, on a kept connection, was taken for the response to the next request.

Change: connections are kept only after responses that echo the request's id.

--- a/crates/ebonylug-direct/src/attempt.rs
+++ b/crates/ebonylug-direct/src/attempt.rs
@@ -126,6 +126,10 @@
             "the response belongs to another request".into(),
         ));
     }
+    if echoed.is_none() {
+        // A copy of this response may follow, and could not be told from one to the next request.
+        connection.close_after_use();
+    }
     record_limit(entry, target, &head);
     server_load::record(entry, target, &head);
     notices::record(entry, &info, &head);
--- a/crates/ebonylug-direct/src/pool.rs
+++ b/crates/ebonylug-direct/src/pool.rs
@@ -185,6 +185,11 @@
         self.reused
     }
 
+    /// Makes [`Pool::release`] close the connection.
+    pub(crate) fn close_after_use(&mut self) {
+        self.idle_time = Duration::ZERO;
+    }
+
     /// Reports whether the target has taken the whole request and then closed the connection without an error.
     pub(crate) fn is_complete(&self) -> bool {
         self.connection.exchange.is_complete()
