Forward a target's 408, 429 and 503 only with its word that nothing ran

Cause: each complete answer was forwarded with its status, and callers take these for a promise.

Change: without the header that says so, such an answer to a request that may run once at most is a failure with an unknown outcome, 502.

--- a/crates/ebonylug-direct/src/attempt.rs
+++ b/crates/ebonylug-direct/src/attempt.rs
@@ -134,7 +134,8 @@
     server_load::record(entry, target, &head);
     notices::record(entry, &info, &head);
     let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
-    if misdirected || head.headers.contains_key(&dialect.not_run) {
+    let says_not_run = head.headers.contains_key(&dialect.not_run);
+    if misdirected || (says_not_run && !head.status.is_success()) {
         slot.set_outcome(if misdirected {
             Outcome::Broken
         } else {
@@ -144,7 +145,12 @@
         drain(entry, body, connection).await;
         return Err(failure);
     }
+    if is_promise(head.status) && !request.route.kind.is_idempotent() {
+        slot.set_outcome(Outcome::Failed);
+        return Err(Failure::Failed(head.status));
+    }
     let is_valid = head.headers.contains_key(&dialect.signature)
+        && !says_not_run
         && !head.headers.contains_key(header::CONTENT_ENCODING);
     if head.status.is_success() && !(is_valid && echoed.is_some()) {
         slot.set_outcome(Outcome::Broken);
@@ -182,6 +188,18 @@
     (rate.is_finite() && rate >= 0.0).then_some(rate)
 }
 
+/// Reports whether callers take a status for the promise that the request has not run and never will. Targets
+/// that fail use some of these as well, after they have run a request.
+fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Reports whether a status ends a request and fits the head. A wrong byte may turn another status into 204,
 /// and hyper then drops the body.
 fn is_valid_status(head: &Parts) -> bool {
--- a/crates/ebonylug-direct/tests/requests.rs
+++ b/crates/ebonylug-direct/tests/requests.rs
@@ -304,6 +304,33 @@
     });
 }
 
+/// Guards against a refusal that promises that a request has not run, from a target that has not said so.
+#[test]
+fn a_status_that_is_a_promise_is_forwarded_only_with_proof() {
+    run(async {
+        for code in ["408 Timeout", "429 Too Many", "503 Unavailable"] {
+            for extra in ["x-signature: s\r\n", "retry-after: 1\r\n", ""] {
+                let step = Step::Send(response("r1", code, extra, "failed"));
+                for route in ["once", "plainstream"] {
+                    let target = ScriptedTarget::start("engine-1", vec![step.clone()]).await;
+                    let harness = Harness::start(&[&target]).await;
+                    let answer = harness.call(&get(route, "r1")).await;
+                    let message = format!("{code}, {extra:?}, {route}: {answer}");
+                    assert_eq!(status(&answer), 502, "{message}");
+                    assert!(!answer.contains("x-signature"), "{message}");
+                    assert_eq!(target.request_count(), 1, "{message}");
+                }
+            }
+        }
+        let contradiction = "x-signature: s\r\nx-not-run: 1\r\n";
+        let step = Step::Send(response("r1", "200 OK", contradiction, "done"));
+        let target = ScriptedTarget::start("engine-1", vec![step]).await;
+        let harness = Harness::start(&[&target]).await;
+        let answer = harness.call(&get("once", "r1")).await;
+        assert_eq!(status(&answer), 502, "{answer}");
+    });
+}
+
 /// Guards against bytes after a response that are read as the next response.
 #[test]
 fn a_connection_with_extra_bytes_is_not_reused() {
