Resume a stream only with a response of its own kind

Cause: each success was taken for the rest, and the check that a response without a length has an event counted the events of the whole stream.

Change: StreamKind compares status and media type with the first response; has_event belongs to the current response.

--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -8,7 +8,9 @@
 
 use bytes::Bytes;
 use ebonylug_core::Name;
-use ebonylug_dispatch::{PlacementRequest, Reason, Refusal, RouteKind, TargetKey, VersionFilter};
+use ebonylug_dispatch::{
+    Outcome, PlacementRequest, Reason, Refusal, RouteKind, TargetKey, VersionFilter,
+};
 use futures_util::stream;
 use http::{Request, Response, StatusCode};
 use http_body_util::{Either, Full};
@@ -24,7 +26,7 @@
 use crate::request::{self, BufferedRequest};
 use crate::response::{self, CallerResponse, HandlerResult, Rejection};
 use crate::slot::SlotGuard;
-use crate::stream::EventStream;
+use crate::stream::{EventStream, StreamKind};
 
 /// The number of targets that may report that they did not run a request before it is refused.
 const MAX_NOT_RUN: u32 = 3;
@@ -482,10 +484,12 @@
         self.tried.len()
     }
 
-    /// Resumes the stream at another target, after the last event that was forwarded.
+    /// Resumes the stream at another target, after the last event that was forwarded. Only a response of the
+    /// same kind goes on with it.
     pub(crate) async fn resume(
         &mut self,
         last_id: Option<&http::HeaderValue>,
+        kind: &StreamKind,
     ) -> Option<OpenResponse> {
         let RouteKind::Stream {
             resumable: true, ..
@@ -509,10 +513,14 @@
             self.tried.push(slot.target());
             self.result_target = Some(slot.target());
             let failure = match attempt::open(&self.entry, &self.request, slot, last_id).await {
-                Ok(opened) if opened.head.status.is_success() => {
+                Ok(opened) if StreamKind::of(&opened) == *kind => {
                     self.sent += 1;
                     return Some(opened);
                 }
+                Ok(opened) if opened.head.status.is_success() => {
+                    opened.slot.set_outcome(Outcome::Broken);
+                    Failure::Unknown("the response does not continue the stream".into())
+                }
                 Ok(opened) => Failure::Failed(opened.head.status),
                 Err(failure) => failure,
             };
--- a/crates/ebonylug-direct/src/stream.rs
+++ b/crates/ebonylug-direct/src/stream.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use ebonylug_dispatch::{Outcome, ResponseLatency, RouteKind};
-use http::HeaderValue;
+use http::{HeaderValue, StatusCode, header};
 use http_body_util::BodyExt;
 use tokio::time::Instant;
 
@@ -25,6 +25,8 @@
     /// Complete events that are not forwarded yet.
     ready: Option<Bytes>,
     sequence: EventSequence,
+    /// Whether the current response has had an event.
+    has_event: bool,
     /// Why the response is unusable after the events returned so far.
     fault: Option<Box<str>>,
     /// Bytes since the last event, which callers ignore.
@@ -74,6 +76,7 @@
             splitter: EventSplitter::default(),
             ready: None,
             sequence: EventSequence::new(request.first_event_id(&entry.dialect)),
+            has_event: false,
             fault: None,
             unidentified: 0,
             first_at: Instant::now(),
@@ -125,7 +128,7 @@
                 None if !self.splitter.is_empty() => {
                     return Part::Broken("the response ends within an event".into());
                 }
-                None if self.sequence.count() == 0 && !opened.is_framed() => {
+                None if !self.has_event && !opened.is_framed() => {
                     return Part::Broken("the response ends before its first event".into());
                 }
                 None if !opened.has_whole_body() => {
@@ -170,7 +173,10 @@
         let mut accepted = 0;
         for event in split_events(events) {
             match self.sequence.accept(event, limits.dialect) {
-                Ok(true) => self.unidentified = 0,
+                Ok(true) => {
+                    self.has_event = true;
+                    self.unidentified = 0;
+                }
                 Ok(false) => self.unidentified += event.len(),
                 Err(error) => return (accepted, Some(error.to_string().into())),
             }
@@ -187,15 +193,39 @@
     pub(crate) fn into_forwarded(self, job: ForwardJob, opened: OpenResponse) -> ForwardedStream {
         ForwardedStream {
             job,
+            kind: StreamKind::of(&opened),
             opened: Some(opened),
             events: self,
         }
     }
 }
 
+/// What the caller has been told of the response, which another target must match to go on with it.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct StreamKind {
+    status: StatusCode,
+    /// The media type in lower case, without its parameters, which may differ between targets.
+    media_type: Option<Box<str>>,
+}
+
+impl StreamKind {
+    pub(crate) fn of(opened: &OpenResponse) -> Self {
+        let content_type = opened.head.headers.get(header::CONTENT_TYPE);
+        let media_type = content_type
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.split(';').next())
+            .map(|media_type| media_type.trim().to_ascii_lowercase().into());
+        StreamKind {
+            status: opened.head.status,
+            media_type,
+        }
+    }
+}
+
 /// A stream that is forwarded to its caller.
 pub(crate) struct ForwardedStream {
     job: ForwardJob,
+    kind: StreamKind,
     opened: Option<OpenResponse>,
     events: EventStream,
 }
@@ -277,8 +307,10 @@
 
     async fn resume(&mut self) -> bool {
         let last = self.events.sequence.last().map(HeaderValue::from);
-        let resumed = self.job.resume(last.as_ref()).await;
+        let resumed = self.job.resume(last.as_ref(), &self.kind).await;
         self.events.splitter = EventSplitter::default();
+        self.events.has_event = false;
+        self.events.unidentified = 0;
         self.opened = resumed;
         self.opened.is_some()
     }
