Continue a stalled stream at a sidecar's target only with a stream

Cause: the response on the new connection was appended whatever its status and type were.

Change: it must be a stream of events with the status of the first response; otherwise the attempt has failed.

Result: an_error_does_not_continue_a_stalled_stream failed before with 'data: {"content": 1}' and 'failed' as one answered stream, and passes.

--- a/crates/ebonylug-sidecar/src/response.rs
+++ b/crates/ebonylug-sidecar/src/response.rs
@@ -99,9 +99,9 @@
         self.change(|state| state.head = Some(head));
     }
 
-    /// Reports whether the status and headers are stored.
-    pub fn has_head(&self) -> bool {
-        self.lock().head.is_some()
+    /// Returns the status and headers, once they are stored.
+    pub fn head(&self) -> Option<Head> {
+        self.lock().head.clone()
     }
 
     /// Appends a part of the body, and waits while the readers are too far behind.
--- a/crates/ebonylug-sidecar/src/target.rs
+++ b/crates/ebonylug-sidecar/src/target.rs
@@ -146,10 +146,14 @@
         tokens: &mut u64,
     ) -> Step {
         let (parts, mut body) = response.into_parts();
-        if !buffer.has_head() {
-            buffer.set_head(head(parts.status.as_u16(), &parts.headers));
+        let head = head(parts.status.as_u16(), &parts.headers);
+        let streamed = is_event_stream(&head);
+        match buffer.head() {
+            None => buffer.set_head(head),
+            // The entry has the head of a stream already, which only a stream continues.
+            Some(first) if streamed && is_event_stream(&first) && first.status == head.status => {}
+            Some(_) => return Step::Ended(CallEnd::Ended(End::Failed)),
         }
-        let streamed = is_event_stream(&parts.headers);
         let mut splitter = EventSplitter::default();
         let mut has_data = false;
         loop {
@@ -214,9 +218,11 @@
     Head { status, headers }
 }
 
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    let content_type = headers.get(header::CONTENT_TYPE);
-    content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+fn is_event_stream(head: &Head) -> bool {
+    let mut headers = head.headers.iter();
+    headers.any(|(name, value)| {
+        **name == *header::CONTENT_TYPE.as_str() && value.starts_with("text/event-stream")
+    })
 }
 
 fn is_stream(call: &Call) -> bool {
--- /dev/null
+++ b/crates/ebonylug-sidecar/tests/resumed_streams.rs
@@ -0,0 +1,160 @@
+//! Streams that stall and are resumed on a new connection to the target.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ebonylug_core::{
+    AttemptId, End, Fingerprint, Incarnation, Name, Offer, PromptParts, Repeat, RequestId,
+    Revision, SystemClock, Tier, Tokens,
+};
+use ebonylug_net::client::Client;
+use ebonylug_net::frame::{Frame, Reader};
+use ebonylug_net::key::SharedKey;
+use ebonylug_net::wire;
+use ebonylug_sidecar::{Settings, Sidecar, TargetKind};
+use http::{HeaderValue, Request, header};
+use http_body_util::{BodyExt, Full};
+use rand::SeedableRng;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+const SEED: u64 = 1;
+/// Timeout for the head of a response. A passing test does not reach it.
+const TIMEOUT: Duration = Duration::from_secs(20);
+const KEY: &str = "0123456789abcdef0123456789abcdef";
+const FIRST: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
+                     16\r\ndata: {\"content\": 1}\n\n\r\n";
+
+/// Starts a target whose first stream stalls after an event. The next request gets these bytes.
+async fn start_target(next: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("local address");
+    tokio::spawn(async move {
+        let mut answers = vec![next, FIRST.to_owned()];
+        let mut held = Vec::new();
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("accept a connection");
+            let mut bytes = vec![0; 4096];
+            // Health checks connect and close, or ask for the load.
+            let _ = stream.read(&mut bytes).await;
+            if bytes.starts_with(b"POST") {
+                let answer = answers.pop().unwrap_or_default();
+                let sent = stream.write_all(answer.as_bytes()).await;
+                sent.expect("send the answer");
+                if answers.len() == 1 {
+                    held.push(stream);
+                }
+            }
+        }
+    });
+    address
+}
+
+fn settings(address: SocketAddr) -> Settings {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    Settings {
+        instance: Name::new("i-sisal-1"),
+        zone: Name::new("zone"),
+        target: Name::new("sisal-1"),
+        kind: TargetKind::Model,
+        address,
+        data: any,
+        control: any,
+        key: SharedKey::new(KEY),
+        cold_limit: 4_096,
+        cold_attempts: 2,
+        ceiling: 1 << 17,
+        silence: Duration::from_secs(1),
+        lag: Duration::ZERO,
+        bound: Duration::from_secs(1),
+        workers: 1,
+    }
+}
+
+fn dispatch(sidecar: &Sidecar) -> Request<Full<bytes::Bytes>> {
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(SEED);
+    let offer = Offer {
+        attempt: AttemptId {
+            request: RequestId(1),
+            number: 0,
+        },
+        incarnation: Incarnation::random(&mut random),
+        revision: Revision(1),
+        tier: Tier::interactive(0),
+        organisation: Name::new("ropeworks"),
+        prompt: Tokens(10),
+        cached: Tokens::ZERO,
+        output: Tokens(10),
+        fingerprint: Fingerprint::of(b"request"),
+        parts: PromptParts::new(),
+        repeat: Repeat::Yes,
+        offset: 0,
+        fence: None,
+    };
+    let body = Full::new("{\"stream\": true}".into());
+    let mut request = Request::post(format!("http://{}/dispatch", sidecar.data_address()))
+        .header(wire::METHOD, "POST")
+        .header(wire::PATH, "/v1/chat")
+        .header(
+            header::AUTHORIZATION,
+            format!("Bearer {}", SharedKey::new(KEY).bearer()),
+        )
+        .body(body)
+        .expect("a request");
+    let offer: HeaderValue = wire::offer_header(&offer);
+    request.headers_mut().insert(wire::OFFER, offer);
+    request
+}
+
+/// Returns the body that an entry gets, and how the attempt ended.
+async fn run(next: &str) -> (String, End) {
+    let address = start_target(next.to_owned()).await;
+    let sidecar = Sidecar::start(settings(address), Arc::new(SystemClock), SEED).await;
+    let sidecar = sidecar.expect("start the sidecar");
+    let client = Client::new();
+    let ready = format!("http://{}/readyz", sidecar.data_address());
+    loop {
+        let request = Request::get(&ready).body(Full::default());
+        let sent = client.send(request.expect("a request"), TIMEOUT).await;
+        if sent.is_ok_and(|response| response.status().is_success()) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let sent = client.send(dispatch(&sidecar), TIMEOUT).await;
+    let mut body = sent.expect("a response").into_body();
+    let (mut reader, mut text) = (Reader::new(), String::new());
+    loop {
+        match reader.next().expect("valid frames") {
+            Some(Frame::Data(data)) => text += std::str::from_utf8(&data).expect("UTF-8"),
+            Some(Frame::Tail(tail)) => return (text, tail.end),
+            Some(Frame::NotRun(refused)) => panic!("refused: {refused:?}"),
+            Some(Frame::Head(_) | Frame::KeepAlive) => {}
+            None => {
+                let frame = body.frame().await.expect("a tail").expect("no error");
+                reader.push(frame.data_ref().expect("data"));
+            }
+        }
+    }
+}
+
+/// Guards against the text of an error in the middle of a stream, which ends as complete.
+#[tokio::test]
+async fn an_error_does_not_continue_a_stalled_stream() {
+    let before = "data: {\"content\": 1}\n\n";
+    for next in [
+        "HTTP/1.1 500 Failed\r\ncontent-length: 6\r\n\r\nfailed",
+        "HTTP/1.1 503 Full\r\ncontent-type: text/event-stream\r\ncontent-length: 14\r\n\r\ndata: failed\n\n",
+        "HTTP/1.1 204 None\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 6\r\n\r\nfailed",
+    ] {
+        assert_eq!(run(next).await, (before.to_owned(), End::Failed), "{next}");
+    }
+    let rest = "data: {\"content\": 2}\n\n";
+    let next = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: {}\r\n\r\n{rest}",
+        rest.len()
+    );
+    assert_eq!(run(&next).await, (format!("{before}{rest}"), End::Answered));
+}
