Continue a preempted stream only with the rest of it

Cause: the entry's sink dropped the head of a continued response unread and forwarded its body.

Change: the head must have the status and media type of the first one. Otherwise the body is dropped and the response ends as failed.

Result: an_error_does_not_continue_a_preempted_stream failed before (data of a 500, then the end) and passes.

--- a/crates/ebonylug-entry/src/lib.rs
+++ b/crates/ebonylug-entry/src/lib.rs
@@ -27,7 +27,7 @@
 mod prompt;
 mod reply;
 mod settings;
-mod sink;
+pub mod sink;
 mod status;
 mod timeline;
 mod view;
--- a/crates/ebonylug-entry/src/sink.rs
+++ b/crates/ebonylug-entry/src/sink.rs
@@ -1,3 +1,5 @@
+//! Forwards the parts of a response to its caller.
+
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -46,7 +48,10 @@
     sender: mpsc::Sender<ResponsePart>,
     write_timeout: Duration,
     buffered: Option<BufferedResponse>,
-    head_sent: bool,
+    /// The head that the caller has.
+    sent_head: Option<Head>,
+    /// Whether the current attempt returns something else than the rest of the stream.
+    mismatched: bool,
     disconnected: bool,
     buffer_only: bool,
     progress: Progress,
@@ -83,7 +88,8 @@
             sender,
             write_timeout,
             buffered: (!streamed).then(BufferedResponse::default),
-            head_sent: false,
+            sent_head: None,
+            mismatched: false,
             disconnected: false,
             buffer_only: false,
             progress: Progress::default(),
@@ -109,6 +115,7 @@
 
     /// Resets the progress at the start of an attempt.
     pub fn start_attempt(&mut self, now: Instant) {
+        self.mismatched = false;
         self.progress = Progress {
             started: Some(now),
             ..Progress::default()
@@ -169,22 +176,27 @@
         self.progress.status >= 500
     }
 
-    /// Forwards or buffers the head. The head of a continued response is dropped.
+    /// Forwards or buffers the head. The head of a continued response is dropped. If it does not fit the head
+    /// that the caller has, the rest of the attempt is dropped too, and [`Sink::finish`] reports a failure.
     pub async fn send_head(&mut self, head: Head) -> Result<(), Disconnected> {
         self.progress.status = head.status;
-        if self.head_sent {
+        if let Some(first) = &self.sent_head {
+            self.mismatched = !continues(first, &head);
             return Ok(());
         }
         if let Some(buffered) = &mut self.buffered {
             buffered.head = Some(head);
             return Ok(());
         }
-        self.head_sent = true;
+        self.sent_head = Some(head.clone());
         self.send(ResponsePart::Head(head)).await
     }
 
     /// Forwards or buffers a chunk of the body.
     pub async fn send_data(&mut self, now: Instant, data: Bytes) -> Result<(), Disconnected> {
+        if self.mismatched {
+            return Ok(());
+        }
         self.progress.first_part.get_or_insert(now);
         self.progress.part_count += 1;
         let Some(buffered) = &mut self.buffered else {
@@ -214,6 +226,10 @@
 
     /// Sends the buffered response, if any, and the final part.
     pub async fn finish(&mut self, end: ResponsePart) {
+        let end = match end {
+            ResponsePart::End if self.mismatched => ResponsePart::Failed,
+            end => end,
+        };
         if end == ResponsePart::End && self.flush().await.is_err() {
             return;
         }
@@ -230,7 +246,7 @@
             return Ok(());
         };
         if let Some(head) = buffered.head {
-            self.head_sent = true;
+            self.sent_head = Some(head.clone());
             self.send(ResponsePart::Head(head)).await?;
         }
         self.send(ResponsePart::Data(buffered.body.freeze())).await
@@ -246,3 +262,15 @@
         }
     }
 }
+
+/// Reports whether a response with the head `next` can go on with one that has begun with `first`: their status
+/// and media type are the same.
+fn continues(first: &Head, next: &Head) -> bool {
+    first.status == next.status && media_type(first) == media_type(next)
+}
+
+fn media_type(head: &Head) -> Option<&str> {
+    let mut headers = head.headers.iter();
+    let (_, value) = headers.find(|(name, _)| name.eq_ignore_ascii_case("content-type"))?;
+    value.split(';').next().map(str::trim)
+}
