Tell eras of the store apart in each version

Cause: after the store has come back from an older copy, a version names two things. A read from a place that the new era has passed got no 410, so changes were missed and lost rows stayed known; a precondition could hold for another row.

--- a/crates/ebonylug-direct/src/follow.rs
+++ b/crates/ebonylug-direct/src/follow.rs
@@ -38,6 +38,9 @@
     /// The store no longer keeps the requested changes.
     #[error("the requested changes have been compacted")]
     Compacted,
+    /// The store has come back from an older copy. The rows must be read again.
+    #[error("the store has come back from an older copy")]
+    Restored,
     /// The store did not respond, or responded with an error.
     #[error("{0}")]
     Failed(Box<str>),
@@ -246,6 +249,16 @@
                     );
                     progress.version = None;
                 }
+                Err(Error::Restored) => {
+                    tracing::info!(
+                        part = "store",
+                        table = self.name,
+                        "the store was restored; reading all rows"
+                    );
+                    progress.version = None;
+                    // The clock of the copy may be another one.
+                    progress.store = StoreClock::default();
+                }
                 Err(Error::Failed(error)) => {
                     let backoff = self.record_failure(&mut progress, &error);
                     if let Some(update) = self.fetch_fallback(&mut progress).await {
--- a/crates/ebonylug-platform/src/http.rs
+++ b/crates/ebonylug-platform/src/http.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ::http::{Method, Request, StatusCode, header};
+use ::http::{HeaderMap, Method, Request, StatusCode, header};
 use bytes::Bytes;
 use form_urlencoded::Serializer;
 use http_body_util::{BodyExt, Full, Limited};
@@ -98,30 +98,31 @@
         self
     }
 
-    /// Reads from a path that the traits of this crate do not cover.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the service does not respond or returns an error status.
-    pub async fn read(&self, path: &str) -> Result<Bytes> {
-        self.call(Access::Read, Method::GET, path, Bytes::new())
+    /// Reads from a path that the traits of this crate do not cover. The body is an error if the service does
+    /// not respond or returns an error status.
+    pub async fn read(&self, path: &str) -> Reply {
+        self.send(Access::Read, Method::GET, path, Bytes::new())
             .await
     }
 
-    /// Writes to a path that the traits of this crate do not cover.
-    ///
-    /// # Errors
-    ///
-    /// As for [`Table::transact`].
-    pub async fn write(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes> {
-        self.call(Access::Write, method, path, body).await
+    /// Writes to a path that the traits of this crate do not cover. The body is an error as for
+    /// [`Table::transact`].
+    pub async fn write(&self, method: Method, path: &str, body: Bytes) -> Reply {
+        self.send(Access::Write, method, path, body).await
     }
 
     async fn call(&self, access: Access, method: Method, path: &str, body: Bytes) -> Result<Bytes> {
-        let request = self.request(method, path, body)?;
+        self.send(access, method, path, body).await.body
+    }
+
+    async fn send(&self, access: Access, method: Method, path: &str, body: Bytes) -> Reply {
+        let request = match self.request(method, path, body) {
+            Ok(request) => request,
+            Err(error) => return Reply::failed(error),
+        };
         match tokio::time::timeout(self.timeout, self.exchange(access, request)).await {
-            Ok(result) => result,
-            Err(_) => Err(access.lost_response()),
+            Ok(reply) => reply,
+            Err(_) => Reply::failed(access.lost_response()),
         }
     }
 
@@ -138,21 +139,43 @@
             .map_err(|error| Error::Invalid(error.to_string().into()))
     }
 
-    async fn exchange(&self, access: Access, request: Request<Full<Bytes>>) -> Result<Bytes> {
+    async fn exchange(&self, access: Access, request: Request<Full<Bytes>>) -> Reply {
         let response = match self.client.request(request).await {
             Ok(response) => response,
-            Err(error) if error.is_connect() => return Err(Error::Unavailable),
-            Err(_) => return Err(access.lost_response()),
+            Err(error) if error.is_connect() => return Reply::failed(Error::Unavailable),
+            Err(_) => return Reply::failed(access.lost_response()),
         };
-        let status = response.status();
-        let body = Limited::new(response.into_body(), self.max_response)
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, self.max_response)
             .collect()
             .await
             .map(|body| body.to_bytes());
-        if let Some(error) = status_error(status, access, body.as_deref().unwrap_or_default()) {
-            return Err(error);
+        let error = status_error(head.status, access, body.as_deref().unwrap_or_default());
+        Reply {
+            headers: head.headers,
+            body: match error {
+                Some(error) => Err(error),
+                None => body.map_err(|_| access.lost_response()),
+            },
+        }
+    }
+}
+
+/// The reply to a call, or why there is none.
+#[derive(Debug)]
+pub struct Reply {
+    /// The headers of the response, also if its status is an error. Empty without a response.
+    pub headers: HeaderMap,
+    /// The body of a successful response.
+    pub body: Result<Bytes>,
+}
+
+impl Reply {
+    fn failed(error: Error) -> Self {
+        Reply {
+            headers: HeaderMap::new(),
+            body: Err(error),
         }
-        body.map_err(|_| access.lost_response())
     }
 }
 
--- a/crates/ebonylug-platform/src/lib.rs
+++ b/crates/ebonylug-platform/src/lib.rs
@@ -36,7 +36,7 @@
 mod table;
 
 pub use error::{Error, Result};
-pub use http::HttpPlatform;
+pub use http::{HttpPlatform, Reply};
 pub use instance::{InstanceList, InstanceRow, InstanceState};
 pub use memory::{CallCounts, Fault, MemoryPlatform};
 pub use object::{ObjectHash, ObjectStore};
