Let the newest configuration of any entry go before an older copy

Cause: what the store had just sent counted as current, peers were asked only if the store did not answer, and the copy replaced what they serve.

Change: rows that their writer numbers keep their newest value (NewestRows); an entry that starts waits for the messages of all listed entries, at most 400 ms; while a peer has a newer configuration, an older one is not confirmed, and is fetched from that peer.

--- a/crates/ebonylug-direct/src/entry.rs
+++ b/crates/ebonylug-direct/src/entry.rs
@@ -130,6 +130,8 @@
             quotas,
             budgets: HashMap::new(),
             freshness: Freshness::new(settings.bounds.key_age),
+            awaits_peers: settings.resuming,
+            deferred: None,
             peers: if settings.resuming {
                 Peers::unlisted()
             } else {
@@ -241,12 +243,6 @@
         state.freshness.set_max_age(bounds.key_age);
         state.quotas.set_tolerance(bounds.quotas);
     }
-
-    /// Records that the active configuration was current at the uptime `time`.
-    pub fn confirm_config(&self, time: Duration) {
-        self.state.borrow_mut().freshness.confirm(time);
-    }
-
     /// Returns the time since the configuration was last known to be current. Returns
     /// [`Duration::MAX`] if another entry has a newer one, because this entry's pending read is then on
     /// a connection that no longer delivers data.
@@ -277,7 +273,7 @@
             .is_some_and(|config| config.has_keys());
         let fresh = !has_keys || state.freshness.is_fresh(self.uptime.uptime());
         let known = state.targets_known && !self.awaits_records.get();
-        !self.stopping.get() && state.config.is_some() && known && fresh
+        !self.stopping.get() && state.config.is_some() && known && fresh && !state.awaits_peers
     }
 
     /// Adds or updates a target.
@@ -491,6 +487,8 @@
     pub fn tick(self: &Rc<Self>) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
+        state.confirm_deferred(self.age());
+        state.awaits_peers(self.age());
         state.log_peer_changes(now);
         state.peers.expire(now);
         state.crashes.expire(now);
--- a/crates/ebonylug-direct/src/exchange.rs
+++ b/crates/ebonylug-direct/src/exchange.rs
@@ -81,6 +81,7 @@
     /// Applies a message of another entry. Returns whether that entry was unknown before.
     pub(crate) fn handle_message(self: &Rc<Self>, gossip: Gossip) -> bool {
         let now = self.clock.now();
+        let own_age = self.age();
         let mut state = self.state.borrow_mut();
         state.moves.merge(&gossip.moves, &gossip.evidence);
         if state.crashes.merge(&gossip.crashes) {
@@ -101,7 +102,7 @@
         if let Some((confirmed, time)) = update.confirmed
             && confirmed <= version
         {
-            state.freshness.confirm(time);
+            state.confirm_config(own_age, time);
         }
         for (organisation, tokens) in update.used {
             state.quotas.record_remote_usage(organisation, tokens);
--- a/crates/ebonylug-direct/src/follow.rs
+++ b/crates/ebonylug-direct/src/follow.rs
@@ -19,6 +19,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::entry::millis;
+use crate::newest_rows::NewestRows;
+pub use crate::newest_rows::Revision;
 use crate::uptime::Uptime;
 
 /// The rows of a table, or changes to them, up to one version.
@@ -81,6 +83,12 @@
     /// Returns the changes of a table after `after`, or all its rows, if another entry has them.
     fn fetch_newer(&self, table: TableKind, after: u64) -> impl Future<Output = Option<PeerTable>>;
 
+    /// Fetches all rows of a table from an entry that has a newer configuration than this one, if there is
+    /// one.
+    fn fetch_superseding(&self, _: TableKind) -> impl Future<Output = Option<PeerTable>> {
+        std::future::ready(None)
+    }
+
     /// Reports whether this entry reads the store itself.
     fn is_reader(&self) -> bool {
         true
@@ -183,6 +191,8 @@
     pub feed: F,
     /// The source of rows while the feed fails.
     pub fallback: B,
+    /// Tells the newer one of two values of a row.
+    pub revision: Revision,
     /// The timing of reads. It may change while the follower runs.
     pub policy: Rc<Cell<PollPolicy>>,
     /// Measures the length of outages.
@@ -202,6 +212,7 @@
     last_read: Option<tokio::time::Instant>,
     failing_since: Option<Instant>,
     store: StoreClock,
+    newest: NewestRows,
 }
 
 impl<F: Feed, B: Fallback> Follower<F, B> {
@@ -239,6 +250,9 @@
                 Ok(rows) => {
                     let (update, timestamp) = self.record_success(&mut progress, rows);
                     on_update(update, Some(timestamp));
+                    if let Some(update) = self.fetch_superseding(&mut progress).await {
+                        on_update(update, None);
+                    }
                     tokio::time::sleep(self.policy.get().pause).await;
                 }
                 Err(Error::Compacted) => {
@@ -319,6 +333,7 @@
             None => TableUpdate::Snapshot(rows.rows),
             Some(_) => TableUpdate::Delta(rows.rows),
         };
+        let update = progress.newest.merge(update, self.revision);
         let version = rows.version.max(progress.version.unwrap_or(0));
         progress.version = Some(version);
         self.fallback.set_failing(self.kind, false);
@@ -362,11 +377,34 @@
                 "took the copy of another entry"
             );
         }
+        let update = progress.newest.merge(update, self.revision);
         progress.version = Some(version);
         self.fallback.record(self.kind, &update, version);
         Some(update)
     }
 
+    /// Fetches numbered rows from another entry that has newer ones than the store, which has come back from an
+    /// older copy.
+    async fn fetch_superseding(&self, progress: &mut Progress) -> Option<TableUpdate> {
+        let table = self.fallback.fetch_superseding(self.kind).await?;
+        let rows = progress.newest.newer(table.update.rows(), self.revision);
+        if rows.is_empty() {
+            return None;
+        }
+        tracing::warn!(
+            part = "store",
+            table = self.name,
+            rows = rows.len(),
+            "the store has older rows than another entry"
+        );
+        let update = progress
+            .newest
+            .merge(TableUpdate::Delta(rows), self.revision);
+        let version = progress.version.unwrap_or(0);
+        self.fallback.record(self.kind, &update, version);
+        Some(update)
+    }
+
     /// Waits for changes until the known rows reach their maximum age, then reads without waiting.
     async fn changes(
         &self,
--- a/crates/ebonylug-direct/src/forward.rs
+++ b/crates/ebonylug-direct/src/forward.rs
@@ -132,7 +132,7 @@
         .and_then(|id| id.to_str().ok())
         .unwrap_or_default()
         .into();
-    let Some(config) = entry.config() else {
+    let Some(config) = entry.config().filter(|_| !entry.awaits_peers()) else {
         return Err(refuse(Reason::NoConfig, NO_CONFIG_RETRY_AFTER));
     };
     context.config = config.version;
--- a/crates/ebonylug-direct/src/lib.rs
+++ b/crates/ebonylug-direct/src/lib.rs
@@ -23,6 +23,7 @@
 //! have run, and is retried only if its route is idempotent.
 
 mod attempt;
+mod confirmation;
 mod crashes;
 mod dialect;
 pub mod duties;
@@ -36,6 +37,7 @@
 mod instruments;
 mod memory;
 mod moves;
+mod newest_rows;
 mod notices;
 pub mod peers;
 mod pool;
--- a/crates/ebonylug-direct/src/peers.rs
+++ b/crates/ebonylug-direct/src/peers.rs
@@ -201,6 +201,16 @@
             .collect()
     }
 
+    /// Returns the addresses of entries that have a newer configuration than this one.
+    pub(crate) fn peers_with_newer_config(&self) -> SmallVec<[SocketAddr; 4]> {
+        let peers = self.peers.borrow();
+        let names = self.entry.peers_with_newer_config();
+        names
+            .iter()
+            .filter_map(|name| Some(peers.get(name)?.address))
+            .collect()
+    }
+
     /// Sends a message to the entries of the same zone soon, since this entry has read a change of a
     /// table that they have not.
     pub(crate) fn announce_change(&self) {
--- a/crates/ebonylug-direct/src/state.rs
+++ b/crates/ebonylug-direct/src/state.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use ebonylug_core::Name;
 use ebonylug_dispatch::{
@@ -20,6 +20,10 @@
     pub(crate) quotas: Quotas,
     pub(crate) budgets: HashMap<Name, RetryBudget>,
     pub(crate) freshness: Freshness,
+    /// Whether the entry has just started and has not heard all others.
+    pub(crate) awaits_peers: bool,
+    /// The latest time at which the store confirmed a configuration that does not count as current yet.
+    pub(crate) deferred: Option<Duration>,
     pub(crate) peers: Peers,
     pub(crate) waiters: HashMap<WaitKey, Waiter>,
     pub(crate) rng: ChaCha8Rng,
--- a/crates/ebonylug-direct/src/table_cache.rs
+++ b/crates/ebonylug-direct/src/table_cache.rs
@@ -159,6 +159,15 @@
         fetch_from(sources, table.as_str(), after).await
     }
 
+    async fn fetch_superseding(&self, table: TableKind) -> Option<PeerTable> {
+        // Only this table has the configuration.
+        if table != TableKind::Orders || !self.exchange.entry().has_outdated_config() {
+            return None;
+        }
+        let sources = self.exchange.peers_with_newer_config();
+        fetch_from(sources, table.as_str(), 0).await
+    }
+
     fn is_reader(&self) -> bool {
         self.exchange.entry().is_reader()
     }
--- a/crates/ebonylug-direct/tests/common/mod.rs
+++ b/crates/ebonylug-direct/tests/common/mod.rs
@@ -377,12 +377,21 @@
 
     /// Starts an entry with this name and clock, without a configuration or targets.
     pub async fn with_clock(name: &str, clock: Arc<dyn Clock>) -> Self {
+        Self::build(name, clock, false).await
+    }
+
+    /// Starts an entry that joins others which are running already, without a configuration or targets.
+    pub async fn resuming(name: &str) -> Self {
+        Self::build(name, Arc::new(SystemClock), true).await
+    }
+
+    async fn build(name: &str, clock: Arc<dyn Clock>, resuming: bool) -> Self {
         let uptime = TestUptime::default();
         uptime.0.set(Duration::from_secs(100));
         let settings = Settings {
             name: Name::new(name),
             zone: Name::new("zone"),
-            resuming: false,
+            resuming,
             bounds: Bounds {
                 key_age: Duration::from_secs(4),
                 retries: RetryRule {
--- a/crates/ebonylug-direct/tests/follow.rs
+++ b/crates/ebonylug-direct/tests/follow.rs
@@ -79,6 +79,7 @@
         kind: TableKind::Orders,
         feed: ScriptedFeed(Rc::clone(script)),
         fallback: (),
+        revision: |_| None,
         policy: Rc::new(Cell::new(policy)),
         clock: Arc::new(ManualClock::new()),
         uptime: Box::new(PausedUptime(tokio::time::Instant::now())),
--- a/crates/ebonylug-direct/tests/table_cache.rs
+++ b/crates/ebonylug-direct/tests/table_cache.rs
@@ -41,7 +41,10 @@
 
 /// Starts an entry that exchanges messages with its peers and serves its cached tables.
 async fn start(name: &str) -> (Harness, Rc<Exchange>, Rc<TableCache>) {
-    let harness = Harness::with_name(name).await;
+    connected(Harness::with_name(name).await).await
+}
+
+async fn connected(harness: Harness) -> (Harness, Rc<Exchange>, Rc<TableCache>) {
     let any = "127.0.0.1:0".parse().expect("an address");
     let listener = server::listen(any).expect("a free port");
     let address = listener.local_addr().expect("local address");
@@ -95,6 +98,7 @@
             kind: TableKind::Orders,
             feed: FailingFeed(Rc::clone(&requested)),
             fallback: reader_cache,
+            revision: |_| None,
             policy: Rc::new(Cell::new(policy)),
             clock: Arc::new(SystemClock),
             uptime: Box::new(TestUptime::default()),
@@ -198,6 +202,7 @@
         kind: TableKind::Targets,
         feed,
         fallback: Rc::clone(cache),
+        revision: |_| None,
         policy: Rc::new(Cell::new(policy)),
         clock: Arc::new(SystemClock),
         uptime: Box::new(TestUptime::default()),
@@ -300,6 +305,7 @@
         kind: TableKind::Targets,
         feed: HangingFeed(Rc::clone(&reads)),
         fallback: NewerPeers,
+        revision: |_| None,
         policy: Rc::new(Cell::new(policy)),
         clock: Arc::new(SystemClock),
         uptime: Box::new(TestUptime::default()),
--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -391,6 +391,19 @@
         }
     }
 
+    /// Reports whether each entry that the platform lists has sent a message, and at least one has.
+    #[must_use]
+    pub fn has_heard_all(&self) -> bool {
+        !self.unlisted && self.listed.is_empty() && !self.peers.is_empty()
+    }
+
+    /// Returns the reachable peers with a configuration after this version.
+    pub fn with_newer_config(&self, now: Instant, version: u64) -> impl Iterator<Item = &Name> {
+        let peers = self.reachable(now);
+        let newer = peers.filter(move |(_, peer)| peer.config > version);
+        newer.map(|(name, _)| name)
+    }
+
     /// Returns the highest configuration version of any peer, or 0.
     #[must_use]
     pub fn newest_config(&self) -> u64 {
