Use the times of another entry only once it has been heard for a while

Cause: the first message of a boot sets the difference of the clocks, also if it waited in a buffer while the receiver was frozen. What it confirmed of some seconds ago counted as news, for the receiver and then for all others.

Change: times of a boot count from 0.5 s after its first message on, when a message without a wait has arrived. A test that expected the first message to confirm, which is the fault, expects the same of the first one that counts.

--- a/crates/ebonylug-dispatch/src/gossip.rs
+++ b/crates/ebonylug-dispatch/src/gossip.rs
@@ -24,6 +24,11 @@
 /// Maximum age of the paces that an entry reported. Entries report them about once per second.
 const PACE_MAX_AGE: Duration = Duration::from_secs(4);
 
+/// Time from the first message of a boot until the sender's times are used. The first messages may have waited in
+/// a buffer while this machine was suspended, and all read after that are equally late. By then, at least one
+/// message has arrived without a wait, since entries send several times per second.
+const SETTLING_TIME: Duration = Duration::from_millis(500);
+
 /// The number of entries assumed while the list of entries is unknown.
 const UNLISTED_ENTRIES: usize = 128;
 
@@ -203,6 +208,8 @@
     config: u64,
     /// Time at which the peer last knew its configuration to be current, as an uptime of this entry.
     confirmed: Option<Duration>,
+    /// When the first message of the boot arrived.
+    first_message: Instant,
     last_message: Instant,
     interval: Duration,
     /// Whether [`Peers::take_changes`] last reported the peer as unreachable.
@@ -254,7 +261,8 @@
     /// of the same boot.
     ///
     /// A message may have waited in a socket buffer while this machine was suspended. The sender's
-    /// times are therefore converted by the smallest difference between send and receive time so far.
+    /// times are therefore converted by the smallest difference between send and receive time so far, and
+    /// are not used until the boot has been heard for some time.
     pub fn receive(
         &mut self,
         now: Instant,
@@ -279,13 +287,15 @@
         let offset = previous
             .as_ref()
             .map_or(difference, |peer| peer.offset.min(difference));
+        let first_message = previous.as_ref().map_or(now, |peer| peer.first_message);
+        let is_settled = now.saturating_duration_since(first_message) >= SETTLING_TIME;
         let mut update = PeerUpdate {
             joined: previous.is_none(),
             tables_changed: previous
                 .as_ref()
                 .is_none_or(|peer| peer.tables != gossip.tables),
             age: Duration::from_millis(u64::from(gossip.age)),
-            confirmed: gossip.confirmed.map(|time| {
+            confirmed: gossip.confirmed.filter(|_| is_settled).map(|time| {
                 let time = i64::try_from(time).unwrap_or(0);
                 let local = time.saturating_add(offset).max(0);
                 (gossip.config, Duration::from_millis(local.unsigned_abs()))
@@ -320,6 +330,7 @@
             sequence: gossip.sequence,
             config: gossip.config,
             confirmed: update.confirmed.map(|(_, time)| time),
+            first_message,
             last_message: now,
             interval: Duration::from_millis(u64::from(gossip.interval)),
             unreachable: was_unreachable,
