Settle the end of a move by what the store has

Cause: a final stage was kept whatever came later, also if the store had another one, and entries that do not report never read the store's.

--- a/crates/ebonylug-direct/src/moves.rs
+++ b/crates/ebonylug-direct/src/moves.rs
@@ -186,7 +186,7 @@
         if let Some(rollout) = rollout
             && *rollout.version() == *report.version
         {
-            rollout.apply_stage(report.stage);
+            rollout.settle_stage(report.stage);
             self.reported.insert(report.service.clone(), report.stage);
         }
     }
--- a/crates/ebonylug-dispatch/src/rollout.rs
+++ b/crates/ebonylug-dispatch/src/rollout.rs
@@ -90,6 +90,8 @@
     service: Name,
     version: Box<str>,
     stage: Stage,
+    /// Whether the stage is final and the store has it, so that it holds for all entries.
+    is_settled: bool,
     process: Incarnation,
     /// Requests of this entry during the trial.
     total_requests: u64,
@@ -119,6 +121,7 @@
             service,
             version: version.into(),
             stage: Stage::Trial,
+            is_settled: false,
             process,
             total_requests: 0,
             trial_requests: 0,
@@ -172,15 +175,31 @@
         evidence.record(now, self.process, version, self.service.clone(), sample);
     }
 
-    /// Adopts a stage that another entry has reached. The stage never regresses, and a final stage stays.
+    /// Adopts a stage that another entry has reached. The stage never regresses.
+    ///
+    /// Entries that do not hear each other may end a move differently. Until the store settles it, a rollback goes
+    /// before a completion, since it sends nothing to a version that may be bad.
     pub fn apply_stage(&mut self, stage: Stage) {
         self.stage = match (self.stage, stage) {
+            (current, _) if self.is_settled => current,
+            (Stage::Completed, Stage::RolledBack) => Stage::RolledBack,
             (current, _) if current.is_final() => current,
             (Stage::Switching, Stage::Trial) => Stage::Switching,
             (_, stage) => stage,
         };
     }
 
+    /// Adopts a stage that the store has. A final one holds for all entries, also for one that has ended the move
+    /// differently.
+    pub fn settle_stage(&mut self, stage: Stage) {
+        if stage.is_final() {
+            self.stage = stage;
+            self.is_settled = true;
+        } else {
+            self.apply_stage(stage);
+        }
+    }
+
     /// Evaluates the evidence of all entries. Returns the new stage if it changed.
     pub fn tick(&mut self, now: SystemTime, evidence: &Evidence) -> Option<Stage> {
         if self.stage.is_final() {
--- a/crates/ebonylug-dispatch/tests/rollout.rs
+++ b/crates/ebonylug-dispatch/tests/rollout.rs
@@ -265,3 +265,37 @@
         );
     }
 }
+
+/// Guards against an entry that was cut off, completed a move by itself, and keeps to it although the others have
+/// rolled it back, and against one that keeps to its rollback.
+#[test]
+fn a_final_stage_that_one_entry_has_reached_alone_does_not_stay() {
+    use Stage::{Completed, RolledBack, Switching, Trial};
+    let start = SystemTime::UNIX_EPOCH + Duration::from_secs(100);
+    // The stages before, from other entries and from the store, and the result.
+    for (own, heard, stored, expected) in [
+        (Switching, RolledBack, None, RolledBack),
+        (Completed, RolledBack, None, RolledBack),
+        (Completed, Trial, None, Completed),
+        (Completed, Switching, None, Completed),
+        (RolledBack, Completed, None, RolledBack),
+        (RolledBack, Completed, Some(Completed), Completed),
+        (Completed, Completed, Some(RolledBack), RolledBack),
+        (Completed, RolledBack, Some(Completed), Completed),
+        (RolledBack, RolledBack, Some(Trial), RolledBack),
+    ] {
+        let mut rollout = Rollout::new("pool".into(), "v2", start, TIME_LIMIT, Incarnation(1));
+        rollout.apply_stage(own);
+        rollout.apply_stage(heard);
+        if let Some(stored) = stored {
+            rollout.settle_stage(stored);
+            // What the store has decided, no entry changes.
+            for late in [RolledBack, Completed, Switching, Trial] {
+                if stored.is_final() {
+                    rollout.apply_stage(late);
+                }
+            }
+        }
+        assert_eq!(rollout.stage(), expected, "{own:?}, {heard:?}, {stored:?}");
+    }
+}
