Keep orders that an older copy of the store lacks for ten seconds

Cause: the rows of the copy replaced what entries knew.

Change: for ten seconds after a restore, orders that the copy lacks or has differently stay as they were, and new ones are added; then all rows are read again and count as they are.

Result: orders_that_an_older_copy_lacks_are_kept_for_some_time fails without the merge (the evacuation ends at once) and passes.

--- a/crates/ebonylug-direct/src/follow.rs
+++ b/crates/ebonylug-direct/src/follow.rs
@@ -74,6 +74,11 @@
     /// Records an update of a table, so that other entries can fetch it.
     fn record(&self, table: TableKind, update: &TableUpdate, version: u64);
 
+    /// Returns the rows of a table that this entry has recorded.
+    fn known_rows(&self, _: TableKind) -> Vec<Row> {
+        Vec::new()
+    }
+
     /// Tells other entries that this one has read a change from the store.
     fn announce(&self) {}
 
@@ -150,6 +155,10 @@
 /// Interval at which the age of the known rows is checked.
 const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time after the store has come back from an older copy for which orders that the copy lacks are kept. The
+/// operator writes them again meanwhile.
+const RESTORE_GRACE: Duration = Duration::from_secs(10);
+
 /// The initial delay after a failed read. It doubles with each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// The maximum delay after failed reads. It bounds how long the entry takes to notice that the store
@@ -213,6 +222,25 @@
     failing_since: Option<Instant>,
     store: StoreClock,
     newest: NewestRows,
+    /// Whether the next rows may be those of an older copy.
+    restored: bool,
+    /// When rows that an older copy lacks are no longer kept.
+    grace_end: Option<tokio::time::Instant>,
+}
+
+impl Progress {
+    /// Returns the time for which orders are still kept. At its end, all rows are read again.
+    fn end_grace(&mut self) -> Option<Duration> {
+        let left = self
+            .grace_end?
+            .saturating_duration_since(tokio::time::Instant::now());
+        if left.is_zero() {
+            self.grace_end = None;
+            self.version = None;
+            return None;
+        }
+        Some(left)
+    }
 }
 
 impl<F: Feed, B: Fallback> Follower<F, B> {
@@ -233,11 +261,14 @@
                 self.follow_peers(&mut progress, &mut on_update).await;
                 continue;
             }
-            let wait = self
+            let mut wait = self
                 .policy
                 .get()
                 .max_wait
                 .mul_f64(rng.random_range(0.5..1.0));
+            if let Some(left) = progress.end_grace() {
+                wait = wait.min(left);
+            }
             progress.last_read = Some(tokio::time::Instant::now());
             let read = match progress.version {
                 None => self.feed.list().await,
@@ -269,7 +300,7 @@
                         table = self.name,
                         "the store was restored; reading all rows"
                     );
-                    progress.version = None;
+                    progress.restored = progress.version.take().is_some();
                     // The clock of the copy may be another one.
                     progress.store = StoreClock::default();
                 }
@@ -330,7 +361,7 @@
             store: rows.clock,
         };
         let update = match progress.version {
-            None => TableUpdate::Snapshot(rows.rows),
+            None => TableUpdate::Snapshot(self.keep_orders(progress, rows.rows)),
             Some(_) => TableUpdate::Delta(rows.rows),
         };
         let update = progress.newest.merge(update, self.revision);
@@ -344,6 +375,21 @@
         (update, timestamp)
     }
 
+    /// Adds the orders that this entry knows to those of an older copy, for some time. A zone that was taken out of
+    /// service gets no requests, and no move is replaced by an earlier one, until the operator has written
+    /// again.
+    fn keep_orders(&self, progress: &mut Progress, copied: Vec<Row>) -> Vec<Row> {
+        if !std::mem::take(&mut progress.restored) || self.kind != TableKind::Orders {
+            return copied;
+        }
+        progress.grace_end = Some(tokio::time::Instant::now() + RESTORE_GRACE);
+        let mut rows = self.fallback.known_rows(self.kind);
+        let is_new = |row: &Row| rows.iter().all(|known| known.key != row.key);
+        let new: Vec<Row> = copied.into_iter().filter(is_new).collect();
+        rows.extend(new);
+        rows
+    }
+
     /// Records a failed read, and returns the backoff until the next one.
     fn record_failure(&self, progress: &mut Progress, error: &str) -> Duration {
         if progress.failing_since.is_none() {
--- a/crates/ebonylug-direct/src/table_cache.rs
+++ b/crates/ebonylug-direct/src/table_cache.rs
@@ -146,6 +146,10 @@
         entry.set_table_stamp(table, cached.stamp());
     }
 
+    fn known_rows(&self, table: TableKind) -> Vec<Row> {
+        self.table(table).borrow().rows()
+    }
+
     fn announce(&self) {
         self.exchange.announce_change();
     }
--- a/crates/ebonylug-direct/tests/follow.rs
+++ b/crates/ebonylug-direct/tests/follow.rs
@@ -9,9 +9,10 @@
 use ebonylug_core::ManualClock;
 use ebonylug_direct::Uptime;
 use ebonylug_direct::follow::{
-    Error, Feed, Follower, PollPolicy, Result, Row, Rows, StoreClock, TableUpdate,
+    Error, Fallback, Feed, Follower, PeerTable, PollPolicy, Result, Row, Rows, StoreClock,
+    TableUpdate,
 };
-use ebonylug_dispatch::TableKind;
+use ebonylug_dispatch::{CachedTable, TableKind};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -36,6 +37,24 @@
 
 struct ScriptedFeed(Rc<Script>);
 
+/// The rows of an entry without others.
+#[derive(Default)]
+struct Recorder(RefCell<CachedTable>);
+
+impl Fallback for Recorder {
+    fn record(&self, _: TableKind, update: &TableUpdate, version: u64) {
+        self.0.borrow_mut().apply(update, version);
+    }
+
+    fn known_rows(&self, _: TableKind) -> Vec<Row> {
+        self.0.borrow().rows()
+    }
+
+    async fn fetch_newer(&self, _: TableKind, _: u64) -> Option<PeerTable> {
+        None
+    }
+}
+
 impl Feed for ScriptedFeed {
     async fn list(&self) -> Result<Rows> {
         self.0.list_count.set(self.0.list_count.get() + 1);
@@ -78,7 +97,7 @@
         name: "op",
         kind: TableKind::Orders,
         feed: ScriptedFeed(Rc::clone(script)),
-        fallback: (),
+        fallback: Recorder::default(),
         revision: |_| None,
         policy: Rc::new(Cell::new(policy)),
         clock: Arc::new(ManualClock::new()),
@@ -108,6 +127,45 @@
     }
 }
 
+/// Guards against an evacuation that ends because the store has come back from a copy without it, and against one that
+/// never ends because the operator has ended it and the copy hides that.
+#[tokio::test(start_paused = true)]
+async fn orders_that_an_older_copy_lacks_are_kept_for_some_time() {
+    let script = Rc::new(Script::default());
+    let copy = || Ok(rows(100, &["config", "evacuate/a"]));
+    script.lists.borrow_mut().extend([
+        Ok(rows(5, &["config", "evacuate/b"])),
+        copy(),
+        Ok(rows(103, &["config", "evacuate/a", "evacuate/c"])),
+    ]);
+    script
+        .changes
+        .borrow_mut()
+        .extend([Err(Error::Restored), Ok(rows(103, &["evacuate/c"]))]);
+    let during = follow_script(&script, default_policy(), None, SECOND * 9).await;
+    let kept = "all config,evacuate/b,evacuate/a";
+    assert_eq!(
+        during[..3],
+        ["all config,evacuate/b", kept, "changed evacuate/c"]
+    );
+    assert!(
+        during[3..].iter().all(|update| update == "changed "),
+        "{during:?}"
+    );
+
+    script.lists.borrow_mut().clear();
+    script
+        .lists
+        .borrow_mut()
+        .extend([Ok(rows(5, &["config", "evacuate/b"])), copy(), copy()]);
+    script.changes.borrow_mut().push_back(Err(Error::Restored));
+    let after = follow_script(&script, default_policy(), None, SECOND * 11).await;
+    assert_eq!(
+        after.last().map(|update| &**update),
+        Some("all config,evacuate/a")
+    );
+}
+
 /// Guards against rows that are missed when the requested changes were compacted, and against reads that skip
 /// or repeat versions.
 #[tokio::test(start_paused = true)]
--- a/crates/ebonylug-dispatch/src/cached_table.rs
+++ b/crates/ebonylug-dispatch/src/cached_table.rs
@@ -139,6 +139,17 @@
         self.stamp
     }
 
+    /// Returns all rows, ordered by key.
+    #[must_use]
+    pub fn rows(&self) -> Vec<Row> {
+        let rows = self.rows.iter();
+        let rows = rows.map(|(key, row)| Row {
+            key: key.clone(),
+            value: Some(row.value.clone()),
+        });
+        rows.collect()
+    }
+
     /// Returns the changes after `after`, or all rows if not all those changes are known. Returns `None` if
     /// the rows are not known beyond `after`.
     #[must_use]
