Reject a status that is none of HTTP's final ones in the sidecar too

What callers would see: 101, or 600 to 999, as the answer of a target in the deployment with sidecars. 000 was a failure already.

Cause: as for entries that call targets themselves: each status that http::StatusCode can hold was forwarded.

Change: a sidecar takes 200 to 599 only; other attempts have failed.

Result: an_invalid_status_is_no_answer failed before at 101 (answered) and passes.

--- a/crates/ebonylug-sidecar/src/target.rs
+++ b/crates/ebonylug-sidecar/src/target.rs
@@ -146,6 +146,10 @@
         tokens: &mut u64,
     ) -> Step {
         let (parts, mut body) = response.into_parts();
+        // HTTP has no other final status.
+        if !(200..600).contains(&parts.status.as_u16()) {
+            return Step::Ended(CallEnd::Ended(End::Failed));
+        }
         let head = head(parts.status.as_u16(), &parts.headers);
         let streamed = is_event_stream(&head);
         match buffer.head() {
--- a/crates/ebonylug-sidecar/tests/resumed_streams.rs
+++ b/crates/ebonylug-sidecar/tests/resumed_streams.rs
@@ -1,4 +1,4 @@
-//! Streams that stall and are resumed on a new connection to the target.
+//! Answers of a target that are no whole answers, and streams that stall and are resumed on a new connection.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,25 +26,24 @@
 const FIRST: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
                      16\r\ndata: {\"content\": 1}\n\n\r\n";
 
-/// Starts a target whose first stream stalls after an event. The next request gets these bytes.
-async fn start_target(next: String) -> SocketAddr {
+/// Starts a target that sends these bytes to its requests in turn. The first connection stays open.
+async fn start_target(answers: [&str; 2]) -> SocketAddr {
+    let answers = answers.map(str::to_owned);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("local address");
     tokio::spawn(async move {
-        let mut answers = vec![next, FIRST.to_owned()];
-        let mut held = Vec::new();
+        let mut answers = answers.into_iter();
+        let mut held = None;
         loop {
             let (mut stream, _) = listener.accept().await.expect("accept a connection");
             let mut bytes = vec![0; 4096];
             // Health checks connect and close, or ask for the load.
             let _ = stream.read(&mut bytes).await;
             if bytes.starts_with(b"POST") {
-                let answer = answers.pop().unwrap_or_default();
+                let answer = answers.next().unwrap_or_default();
                 let sent = stream.write_all(answer.as_bytes()).await;
                 sent.expect("send the answer");
-                if answers.len() == 1 {
-                    held.push(stream);
-                }
+                held.get_or_insert(stream);
             }
         }
     });
@@ -108,8 +107,8 @@
 }
 
 /// Returns the body that an entry gets, and how the attempt ended.
-async fn run(next: &str) -> (String, End) {
-    let address = start_target(next.to_owned()).await;
+async fn run(answers: [&str; 2]) -> (String, End) {
+    let address = start_target(answers).await;
     let sidecar = Sidecar::start(settings(address), Arc::new(SystemClock), SEED).await;
     let sidecar = sidecar.expect("start the sidecar");
     let client = Client::new();
@@ -149,12 +148,32 @@
         "HTTP/1.1 204 None\r\n\r\n",
         "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 6\r\n\r\nfailed",
     ] {
-        assert_eq!(run(next).await, (before.to_owned(), End::Failed), "{next}");
+        assert_eq!(
+            run([FIRST, next]).await,
+            (before.to_owned(), End::Failed),
+            "{next}"
+        );
     }
     let rest = "data: {\"content\": 2}\n\n";
     let next = format!(
         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: {}\r\n\r\n{rest}",
         rest.len()
     );
-    assert_eq!(run(&next).await, (format!("{before}{rest}"), End::Answered));
+    assert_eq!(
+        run([FIRST, &next]).await,
+        (format!("{before}{rest}"), End::Answered)
+    );
+}
+
+/// Guards against a status that is none of HTTP's final ones and reaches the caller.
+#[tokio::test]
+async fn an_invalid_status_is_no_answer() {
+    for code in ["000", "101", "199", "600", "999"] {
+        let answer = format!("HTTP/1.1 {code} Odd\r\ncontent-length: 4\r\n\r\nbody");
+        assert_eq!(
+            run([&answer, ""]).await,
+            (String::new(), End::Failed),
+            "{code}"
+        );
+    }
 }
