Take no answer without a length to a long request for complete in the sidecar

What callers would see: a part of an early answer as a whole one, in the deployment with sidecars, if its target ends its side and resets the connection during a long upload (MIXED).

Cause: hyper reports the end of such a body alike after a clean end and after a failed write, and the sidecar's client does not show the connection.

Change: an answer without a length is complete only if the request has at most 64 KiB, which a socket takes at once.

--- a/crates/ebonylug-sidecar/src/target.rs
+++ b/crates/ebonylug-sidecar/src/target.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use tokio::net::TcpStream;
 
 use ebonylug_core::{AttemptId, End};
@@ -22,6 +22,10 @@
 /// Maximum number of new connections for one attempt after its connection stalled.
 const MAX_RESUMES: u32 = 2;
 
+/// The largest body of a request that a socket takes at once. The target may end its answer to a longer request
+/// before the request is written.
+const MAX_SENT_BYTES: usize = 64 << 10;
+
 /// The call of one attempt to the target.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -150,6 +154,7 @@
         if !(200..600).contains(&parts.status.as_u16()) {
             return Step::Ended(CallEnd::Ended(End::Failed));
         }
+        let is_framed = is_framed(&parts.headers) || body.is_end_stream();
         let head = head(parts.status.as_u16(), &parts.headers);
         let streamed = is_event_stream(&head);
         match buffer.head() {
@@ -185,6 +190,10 @@
                 buffer.push(part).await;
             }
         }
+        // The HTTP library reports a failed write of the request as the end of such a body.
+        if !is_framed && call.body.len() > MAX_SENT_BYTES {
+            return Step::Ended(CallEnd::Ended(self.disconnect_end().await));
+        }
         let rest = splitter.into_rest();
         if !rest.is_empty() {
             buffer.push(rest).await;
@@ -222,6 +231,11 @@
     Head { status, headers }
 }
 
+/// Reports whether a head announces the length of its body, or chunks.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 fn is_event_stream(head: &Head) -> bool {
     let mut headers = head.headers.iter();
     headers.any(|(name, value)| {
--- a/crates/ebonylug-sidecar/tests/resumed_streams.rs
+++ b/crates/ebonylug-sidecar/tests/resumed_streams.rs
@@ -71,7 +71,7 @@
     }
 }
 
-fn dispatch(sidecar: &Sidecar) -> Request<Full<bytes::Bytes>> {
+fn dispatch(sidecar: &Sidecar, body: &str) -> Request<Full<bytes::Bytes>> {
     let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(SEED);
     let offer = Offer {
         attempt: AttemptId {
@@ -91,7 +91,7 @@
         offset: 0,
         fence: None,
     };
-    let body = Full::new("{\"stream\": true}".into());
+    let body = Full::new(body.to_owned().into());
     let mut request = Request::post(format!("http://{}/dispatch", sidecar.data_address()))
         .header(wire::METHOD, "POST")
         .header(wire::PATH, "/v1/chat")
@@ -109,6 +109,11 @@
 /// Returns the body that an entry gets, and how the attempt ended.
 async fn run(answers: [&str; 2]) -> (String, End) {
     let address = start_target(answers).await;
+    call(address, "{\"stream\": true}").await
+}
+
+/// Sends a request to a target through a sidecar. Returns the body that an entry gets, and how the attempt ended.
+async fn call(address: SocketAddr, body: &str) -> (String, End) {
     let sidecar = Sidecar::start(settings(address), Arc::new(SystemClock), SEED).await;
     let sidecar = sidecar.expect("start the sidecar");
     let client = Client::new();
@@ -121,8 +126,8 @@
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    let sent = client.send(dispatch(&sidecar), TIMEOUT).await;
-    let mut body = sent.expect("a response").into_body();
+    let sent = client.send(dispatch(&sidecar, body), TIMEOUT).await;
+    let mut frames = sent.expect("a response").into_body();
     let (mut reader, mut text) = (Reader::new(), String::new());
     loop {
         match reader.next().expect("valid frames") {
@@ -131,7 +136,7 @@
             Some(Frame::NotRun(refused)) => panic!("refused: {refused:?}"),
             Some(Frame::Head(_) | Frame::KeepAlive) => {}
             None => {
-                let frame = body.frame().await.expect("a tail").expect("no error");
+                let frame = frames.frame().await.expect("a tail").expect("no error");
                 reader.push(frame.data_ref().expect("data"));
             }
         }
@@ -177,3 +182,26 @@
         );
     }
 }
+
+/// Guards against a part of an answer that looks whole: its target answers a long request early and without a length,
+/// ends its side and resets the connection.
+#[tokio::test]
+async fn an_early_answer_without_length_that_breaks_off_is_not_complete() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("local address");
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("accept a connection");
+            let mut bytes = vec![0; 1024];
+            let _ = stream.read(&mut bytes).await;
+            if bytes.starts_with(b"POST") {
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").await;
+                let _ = stream.shutdown().await;
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    });
+    let long = format!("{{\"text\": \"{}\"}}", "t".repeat(12 << 20));
+    let (_, end) = call(address, &long).await;
+    assert_ne!(end, End::Answered);
+}
