Open a connection for each request of a sidecar to its target

Cause: targets there echo no id, so a sidecar takes whatever comes next on a connection for the answer to its last request.

Change: each request has a connection of its own, on the same machine.

Result: a_copy_of_an_earlier_answer_is_not_the_answer_to_the_next_request (ebonylug-sidecar) failed before ("0" for the second request) and passes.

--- a/crates/ebonylug-sidecar/src/target.rs
+++ b/crates/ebonylug-sidecar/src/target.rs
@@ -111,12 +111,9 @@
     ) -> Step {
         let request = self.request(call, *tokens, resumed);
         let timeout = self.settings.silence;
-        let sent = if resumed {
-            self.client.send_unpooled(request, timeout).await
-        } else {
-            self.client.send(request, timeout).await
-        };
-        match sent {
+        // Targets do not name the attempt that they answer, so on a kept connection a late copy of an answer
+        // could not be told from the next one.
+        match self.client.send_unpooled(request, timeout).await {
             Ok(response) => self.receive(call, response, buffer, tokens).await,
             Err(client::Error::Connect) if resumed => Step::Ended(CallEnd::Ended(End::Crashed)),
             Err(client::Error::Connect) => Step::Ended(CallEnd::NotRun),
--- a/crates/ebonylug-sidecar/tests/resumed_streams.rs
+++ b/crates/ebonylug-sidecar/tests/resumed_streams.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use ebonylug_core::{
@@ -71,11 +72,11 @@
     }
 }
 
-fn dispatch(sidecar: &Sidecar, body: &str) -> Request<Full<bytes::Bytes>> {
+fn dispatch(sidecar: &Sidecar, id: u128, body: &str) -> Request<Full<bytes::Bytes>> {
     let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(SEED);
     let offer = Offer {
         attempt: AttemptId {
-            request: RequestId(1),
+            request: RequestId(id),
             number: 0,
         },
         incarnation: Incarnation::random(&mut random),
@@ -114,6 +115,12 @@
 
 /// Sends a request to a target through a sidecar. Returns the body that an entry gets, and how the attempt ended.
 async fn call(address: SocketAddr, body: &str) -> (String, End) {
+    let sidecar = start_sidecar(address).await;
+    send(&sidecar, 1, body).await
+}
+
+/// Starts a sidecar, and waits until its target is up.
+async fn start_sidecar(address: SocketAddr) -> Sidecar {
     let sidecar = Sidecar::start(settings(address), Arc::new(SystemClock), SEED).await;
     let sidecar = sidecar.expect("start the sidecar");
     let client = Client::new();
@@ -122,11 +129,17 @@
         let request = Request::get(&ready).body(Full::default());
         let sent = client.send(request.expect("a request"), TIMEOUT).await;
         if sent.is_ok_and(|response| response.status().is_success()) {
-            break;
+            return sidecar;
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    let sent = client.send(dispatch(&sidecar, body), TIMEOUT).await;
+}
+
+/// Sends a request with this id to a sidecar, and reads its response to the end.
+async fn send(sidecar: &Sidecar, id: u128, body: &str) -> (String, End) {
+    let sent = Client::new()
+        .send(dispatch(sidecar, id, body), TIMEOUT)
+        .await;
     let mut frames = sent.expect("a response").into_body();
     let (mut reader, mut text) = (Reader::new(), String::new());
     loop {
@@ -205,3 +218,34 @@
     let (_, end) = call(address, &long).await;
     assert_ne!(end, End::Answered);
 }
+
+/// Guards against an answer that belongs to an earlier request: its target writes the first answer once more where the
+/// next one is due.
+#[tokio::test]
+async fn a_copy_of_an_earlier_answer_is_not_the_answer_to_the_next_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("local address");
+    let numbers = Arc::new(AtomicU32::new(0));
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("accept a connection");
+            let numbers = Arc::clone(&numbers);
+            tokio::spawn(async move {
+                let (mut bytes, mut before) = (vec![0; 4096], String::new());
+                while matches!(stream.read(&mut bytes).await, Ok(1..)) && bytes.starts_with(b"POST")
+                {
+                    let number = numbers.fetch_add(1, Ordering::Relaxed);
+                    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}");
+                    let sent = stream.write_all((before + &answer).as_bytes()).await;
+                    sent.expect("send the answer");
+                    before = answer;
+                }
+            });
+        }
+    });
+    let sidecar = start_sidecar(address).await;
+    for id in 0..4 {
+        let (body, end) = send(&sidecar, id, "{}").await;
+        assert_eq!((body, end), (id.to_string(), End::Answered));
+    }
+}
