Replace the settings of a soak's entry in one step

An entry with an empty file ends with status 1.

Change: the file is written beside the old one and renamed.

--- a/crates/ebonylug-soak/src/cluster.rs
+++ b/crates/ebonylug-soak/src/cluster.rs
@@ -394,7 +394,10 @@
         let path = self.settings_path(index);
         let setup = |error| Error::Setup(path.display().to_string().into(), error);
         let text = serde_json::to_vec(&*lock(&self.entries[index].settings));
-        std::fs::write(&path, text.map_err(|error| setup(error.into()))?).map_err(setup)
+        // An entry that starts at this moment must not read a part of the file.
+        let next = path.with_extension("next");
+        std::fs::write(&next, text.map_err(|error| setup(error.into()))?).map_err(setup)?;
+        std::fs::rename(&next, &path).map_err(setup)
     }
 
     /// Starts the process of an entry and increments its generation.
