Review: show that a key is accepted again after the store's drill

Cause: an entry that starts and hears none of the others within 400 ms takes the configuration of the store's older copy, and with it a key that was taken away.

--- a/review/lab-3/entry.rs
+++ b/review/lab-3/entry.rs
@@ -183,14 +183,27 @@
 
     /// Stops the process by SIGTERM and waits until it has ended.
     pub fn terminate(&mut self) {
+        const SIGTERM: i32 = 15;
+        self.signal(SIGTERM);
+        if let Some(mut process) = self.process.take() {
+            let _ = process.wait();
+        }
+    }
+
+    /// Freezes the process, or wakes it.
+    pub fn freeze(&self, is_frozen: bool) {
+        const SIGCONT: i32 = 18;
+        const SIGSTOP: i32 = 19;
+        self.signal(if is_frozen { SIGSTOP } else { SIGCONT });
+    }
+
+    fn signal(&self, signal: i32) {
         unsafe extern "C" {
             fn kill(process: i32, signal: i32) -> i32;
         }
-        const SIGTERM: i32 = 15;
-        if let Some(mut process) = self.process.take() {
+        if let Some(process) = &self.process {
             // SAFETY: the process is a child that has not been waited for, so its id is not used again.
-            unsafe { kill(process.id() as i32, SIGTERM) };
-            let _ = process.wait();
+            unsafe { kill(process.id() as i32, signal) };
         }
     }
 
--- a/review/lab-3/lab.rs
+++ b/review/lab-3/lab.rs
@@ -11,6 +11,7 @@
 
 mod cleared_part;
 mod early;
+mod old_key;
 mod stale_rows;
 
 use std::fs::File;
@@ -68,6 +69,7 @@
     let outcome = match case.as_str() {
         "cleared-part" => cleared_part::run(&record, trouble),
         "early" => early::run(&record, trouble),
+        "old-key" => old_key::run(&record, trouble),
         "stale-rows" => stale_rows::run(&record, trouble),
         other => Err(format!("no case {other}")),
     };
--- a/review/lab-3/store.rs
+++ b/review/lab-3/store.rs
@@ -1,4 +1,5 @@
-//! A stand-in of the platform's store: rows, transactions and feeds. It is sound, and loses nothing.
+//! A stand-in of the platform's store: rows, transactions and feeds. It is sound, and loses nothing but in the drill, in
+//! which it is away for a moment and comes back from an older copy.
 
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
@@ -12,8 +13,11 @@
 /// Table, part and key of a row.
 type Key = (String, String, String);
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Rows {
+    /// How often the store has come back from a copy.
+    era: u64,
+    is_away: bool,
     version: u64,
     /// The value in base64, and the version of the last change.
     rows: BTreeMap<Key, (String, u64)>,
@@ -40,6 +44,9 @@
     }
 }
 
+/// A copy of all rows at one moment.
+pub struct Copy(Rows);
+
 /// The store.
 #[derive(Clone)]
 pub struct Store {
@@ -76,6 +83,22 @@
         self.state.1.notify_all();
     }
 
+    /// Returns a copy of all rows.
+    pub fn copy(&self) -> Copy {
+        Copy(self.rows().clone())
+    }
+
+    /// Goes away for a moment and comes back from a copy. Answers on their way are lost.
+    pub fn restore(&self, copy: &Copy, away: Duration) {
+        self.rows().is_away = true;
+        self.state.1.notify_all();
+        std::thread::sleep(away);
+        let mut rows = self.rows();
+        let era = rows.era + 1;
+        *rows = copy.0.clone();
+        rows.era = era;
+    }
+
     /// Returns the keys of a table.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let rows = self.rows();
@@ -89,17 +112,25 @@
         let mut reader = BufReader::new(stream);
         while let Some(head) = http::read_head(&mut reader)? {
             let body = http::read_body(&mut reader, head.length())?;
+            let before = self.rows().era;
             let (_, target) = head.request();
             let (path, query) = target.split_once('?').unwrap_or((target, ""));
             let (status, answer) = match path {
                 "/-/rows-get" => (200, self.get(&fields(query))),
-                "/-/rows-feed" => (200, self.feed(&fields(query))),
+                "/-/rows-feed" => self.feed(&fields(query)),
                 "/-/rows-tx" => self.transact(&body),
                 _ => (404, "{}".to_owned()),
             };
+            let (era, is_away) = {
+                let rows = self.rows();
+                (rows.era, rows.is_away)
+            };
+            if is_away || era != before {
+                return Ok(());
+            }
             let length = answer.len();
             let text = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{answer}"
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {length}\r\n\r\n{answer}"
             );
             writer.write_all(text.as_bytes())?;
         }
@@ -135,12 +166,16 @@
         )
     }
 
-    fn feed(&self, query: &BTreeMap<String, String>) -> String {
+    fn feed(&self, query: &BTreeMap<String, String>) -> (u16, String) {
         let text = |name: &str| query.get(name).cloned().unwrap_or_default();
         let (table, after) = (text("table"), text("after").parse().unwrap_or(0));
         let wait = Duration::from_millis(text("wait_ms").parse().unwrap_or(0));
         let end = Instant::now() + wait;
         let mut rows = self.rows();
+        let era = rows.era;
+        if after > rows.version {
+            return (410, format!("{{{}}}", self.tail(rows.version)));
+        }
         loop {
             let mut changed: BTreeMap<Key, (u64, Option<String>)> = BTreeMap::new();
             for (version, key, value) in rows.changes.iter().rev() {
@@ -154,13 +189,14 @@
                 }
             }
             let left = end.saturating_duration_since(Instant::now());
-            if !changed.is_empty() || left.is_zero() {
+            if !changed.is_empty() || left.is_zero() || rows.is_away || rows.era != era {
                 let rows_text: Vec<String> = changed
                     .iter()
                     .map(|(key, (version, value))| row(key, value.as_ref(), *version))
                     .collect();
                 let tail = self.tail(rows.version);
-                return format!(r#"{{"rows":[{}],{tail}}}"#, rows_text.join(","));
+                let answer = format!(r#"{{"rows":[{}],{tail}}}"#, rows_text.join(","));
+                return (200, answer);
             }
             rows = self
                 .state
