Review: show the crashing prompt part with the site's engines

Cause: whether case 11 failed depended on chance: each entry has to pass on a 500 to a request with the part before three crashes are counted. Change: 18 engines as on the site in place of 9, and the first six requests with the part come 10 ms apart. The check and the dose are the same.

--- a/review/lab-3/cleared_part.rs
+++ b/review/lab-3/cleared_part.rs
@@ -16,10 +16,13 @@
     quota_slack: 110_000,
 };
 const ENTRIES: u8 = 2;
-const ENGINES: usize = 9;
+const ENGINES: usize = 18;
 /// Mean time between two sound requests, and between two with the part that crashes engines.
 const SOUND_INTERVAL: Duration = Duration::from_millis(60);
 const CRASHING_INTERVAL: Duration = Duration::from_millis(500);
+/// The first requests with the part come close to each other.
+const FIRST_CRASHING: usize = 6;
+const FIRST_INTERVAL: Duration = Duration::from_millis(10);
 /// The dose of `srv_grey` in the site file: part of the requests in percent, and length.
 const FAILED_PERCENT: u64 = 45;
 const GREY_START: Duration = Duration::from_millis(4_500);
@@ -318,6 +321,10 @@
         requests.push(std::thread::spawn(move || {
             request(&shared_request, front, path, number, is_crashing);
         }));
+        if is_crashing && requests.len() < FIRST_CRASHING {
+            std::thread::sleep(FIRST_INTERVAL);
+            continue;
+        }
         // Between half and one and a half of the mean time.
         std::thread::sleep(Duration::from_micros(mean / 2 + draw.below(mean)));
     }
