Review: show the key after the drill with a shorter delay of the operator

Cause: case 14 had an operator who writes again 2 s after the store is back, and a freeze of just its limit of 4.0 s. Change: the operator writes again after 1 s, the freeze lasts 3.95 s, and the killed entry starts while the store is away. The check is the same.

--- a/review/lab-3/old_key.rs
+++ b/review/lab-3/old_key.rs
@@ -1,4 +1,4 @@
-//! A key is taken away. Four seconds later the store comes back from a copy that still has it, while one entry is frozen
+//! A key is taken away. Some seconds later the store comes back from a copy that still has it, while one entry is frozen
 //! and the other one starts.
 
 use std::io::{BufReader, Read, Write};
@@ -18,14 +18,15 @@
 /// `revoke_ms`.
 const REVOKE: Duration = Duration::from_secs(5);
 /// Times after the ack of the configuration that takes the key away.
-const FREEZE: Duration = Duration::from_millis(3_900);
-const DRILL: Duration = Duration::from_secs(4);
-const RESTART: Duration = Duration::from_millis(4_500);
-const WAKE: Duration = Duration::from_millis(7_900);
+const KILL: Duration = Duration::from_millis(4_200);
+const FREEZE: Duration = Duration::from_millis(4_400);
+const DRILL: Duration = Duration::from_millis(4_500);
+const RESTART: Duration = Duration::from_millis(4_700);
+const WAKE: Duration = Duration::from_millis(8_350);
 const END: Duration = Duration::from_secs(10);
 /// How long the store is away, and how long after it the operator writes its rows again.
 const AWAY: Duration = Duration::from_millis(500);
-const WRITE_AGAIN: Duration = Duration::from_secs(2);
+const WRITE_AGAIN: Duration = Duration::from_secs(1);
 /// Age of the copy when the key is taken away.
 const COPY_AGE: Duration = Duration::from_millis(500);
 
@@ -78,12 +79,14 @@
         move || send_requests(&record, front, ack)
     });
     if trouble {
+        until(KILL);
+        record.line("front-1 is killed");
+        entries[0].kill();
         until(FREEZE);
-        record.line("front-2 is frozen");
         entries[1].freeze(true);
+        record.line("front-2 is frozen");
         until(DRILL);
-        record.line("front-1 is killed, and the store is away");
-        entries[0].kill();
+        record.line("the store is away");
         let drill = std::thread::spawn({
             let (record, store) = (Arc::clone(record), store.clone());
             move || {
